--- /dev/null
+++ b/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
@@ -0,0 +1,185 @@
+package dev.cactusstack.ctl;
+
+import dev.cactusstack.http.HttpCaller;
+import dev.cactusstack.http.HttpFailure;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.Result;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
+import java.security.cert.CertificateFactory;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+import joptsimple.OptionException;
+import joptsimple.OptionSet;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The command line of {@code bin/cactusctl}. */
+public final class CtlMain {
+  private static final String TOKEN_VARIABLE = "CACTUSSTACK_OPERATORS_TOKEN";
+
+  private CtlMain() {}
+
+  /**
+   * Runs the program and ends the process with the command's exit code.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    for (String name : List.of("org.xnio", "io.undertow", "org.jboss")) {
+      Logger.getLogger(name).setLevel(Level.OFF);
+    }
+    System.exit(run(args, System.getenv(), System.out, System.err));
+  }
+
+  /**
+   * Runs one command.
+   *
+   * @param args the command line
+   * @param environment environment variables
+   * @param out receives the output
+   * @param err receives the errors
+   * @return the exit code
+   */
+  public static int run(
+      String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
+    Objects.requireNonNull(args, "args is null");
+    CommandEnd end;
+    try {
+      end = parseAndRun(args, environment, out);
+    } catch (OptionException e) {
+      end = CommandEnd.invalid(String.valueOf(e.getMessage()), "see --help");
+    } catch (HttpFailure e) {
+      end = unanswered(e);
+    } catch (IOException | GeneralSecurityException e) {
+      end = CommandEnd.invalid(String.valueOf(e.getMessage()), "check the file's name and content");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      end = CommandEnd.invalid("interrupted", "run the command again");
+    }
+    end.output().forEach(out::println);
+    end.errors().forEach(err::println);
+    return end.code().code();
+  }
+
+  private static CommandEnd unanswered(HttpFailure e) {
+    return CommandEnd.failed(
+        ExitCode.NOT_ACCEPTED_OR_UNKNOWN,
+        e.maySent() ? "unknown" : "not-accepted",
+        String.valueOf(e.getMessage()),
+        e.maySent()
+            ? "repeat the command with --operation and the same id, or look at 'table show' first"
+            : "nothing was changed; name other hosts with --operators");
+  }
+
+  private static CommandEnd parseAndRun(
+      String[] args, Map<String, String> environment, PrintStream out)
+      throws IOException, GeneralSecurityException, InterruptedException {
+    var options = new CtlOptions();
+    OptionSet o = options.parser().parse(args);
+    if (o.has("help")) {
+      out.print(CtlOptions.USAGE);
+      options.parser().printHelpOn(out);
+      return CommandEnd.done(List.of());
+    }
+    List<String> words = o.nonOptionArguments().stream().map(String::valueOf).toList();
+    Result<List<Address>> hosts = options.addresses(o);
+    if (hosts instanceof Result.Failure<List<Address>> f) {
+      return CommandEnd.invalid(f.problem().message(), f.problem().remedy());
+    }
+    Optional<SSLContext> tls = trust(options.certificate(o));
+    XnioWorker worker = worker();
+    try {
+      List<Address> addresses = hosts.fold(p -> List.<Address>of(), a -> a);
+      var api =
+          new OperatorsApi(
+              new HttpCaller(worker, tls),
+              tls.isPresent(),
+              addresses,
+              Optional.ofNullable(environment.get(TOKEN_VARIABLE)));
+      return command(words, api, options, o, out);
+    } finally {
+      worker.shutdownNow();
+    }
+  }
+
+  private static CommandEnd command(
+      List<String> words, OperatorsApi api, CtlOptions options, OptionSet o, PrintStream out)
+      throws InterruptedException {
+    var table = new TableCommands(api, options.edit(o));
+    var watch = new WatchCommands(api);
+    String command = String.join(" ", words.subList(0, Math.min(2, words.size())));
+    int count = words.size();
+    return switch (command) {
+      case "table show" -> table.show(options.format(o));
+      case "table set" ->
+          count < 4
+              ? usage("table set SERVICE DATA_CENTRE COLUMN=N...")
+              : table.set(words.get(2), words.get(3), words.subList(4, count));
+      case "table apply" ->
+          count != 3 ? usage("table apply FILE") : table.apply(Path.of(words.get(2)));
+      case "table watch" -> watch.watch(options.once(o), options.timeoutMs(o), out);
+      case "data-centre out", "data-centre in" ->
+          count != 3
+              ? usage(command + " NAME")
+              : table.moveDataCentre(words.get(2), words.get(1).equals("out"));
+      case "status" -> watch.status(options.format(o));
+      default ->
+          CommandEnd.invalid(
+              command.isEmpty() ? "no command is given" : "'" + command + "' is not a command",
+              "see --help");
+    };
+  }
+
+  private static CommandEnd usage(String form) {
+    return CommandEnd.invalid("the command is not complete", "write: cactusctl " + form);
+  }
+
+  private static Optional<SSLContext> trust(Optional<String> certificate)
+      throws IOException, GeneralSecurityException {
+    if (certificate.isEmpty()) {
+      return Optional.empty();
+    }
+    KeyStore store = KeyStore.getInstance(KeyStore.getDefaultType());
+    store.load(null, null);
+    try (InputStream in = Files.newInputStream(Path.of(certificate.get()))) {
+      store.setCertificateEntry(
+          "operators", CertificateFactory.getInstance("X.509").generateCertificate(in));
+    }
+    TrustManagerFactory trust =
+        TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+    trust.init(store);
+    SSLContext context = SSLContext.getInstance("TLS");
+    context.init(null, trust.getTrustManagers(), null);
+    return Optional.of(context);
+  }
+
+  private static XnioWorker worker() {
+    try {
+      return Xnio.getInstance()
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_IO_THREADS, 1)
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.THREAD_DAEMON, true)
+                  .getMap());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/dev/cactusstack/ctl/OperatorsApi.java
@@ -0,0 +1,95 @@
+package dev.cactusstack.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusstack.http.HttpCall;
+import dev.cactusstack.http.HttpCaller;
+import dev.cactusstack.http.HttpFailure;
+import dev.cactusstack.http.HttpReply;
+import dev.cactusstack.http.Json;
+import dev.cactusstack.model.Address;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+
+/**
+ * The operators' ports of the entry hosts. A request goes to the next host only when the one before
+ * it cannot have received it. Thread-safe.
+ */
+final class OperatorsApi {
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration EDIT_TIMEOUT = Duration.ofSeconds(15);
+
+  private final HttpCaller caller;
+  private final String scheme;
+  private final List<Address> hosts;
+  private final Optional<String> token;
+
+  /** An answer of an entry host. */
+  record Answer(int status, JsonNode body) {}
+
+  OperatorsApi(HttpCaller caller, boolean tls, List<Address> hosts, Optional<String> token) {
+    this.caller = caller;
+    this.scheme = tls ? "https://" : "http://";
+    this.hosts = List.copyOf(hosts);
+    this.token = token;
+  }
+
+  /** Reads from the first host that answers. Throws {@link HttpFailure} when none does. */
+  Answer get(String path) {
+    HttpFailure last = new HttpFailure(false, "no operators' address is given");
+    for (Address a : hosts) {
+      try {
+        return send(HttpCall.get(uri(a, path), READ_TIMEOUT));
+      } catch (HttpFailure e) {
+        last = e;
+      }
+    }
+    throw last;
+  }
+
+  /** Reads from one host; nothing when it does not answer. */
+  Optional<Answer> get(Address host, String path) {
+    try {
+      return Optional.of(send(HttpCall.get(uri(host, path), READ_TIMEOUT)));
+    } catch (HttpFailure e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Changes something. Throws {@link HttpFailure} when no host answers. */
+  Answer post(String path, JsonNode body) {
+    HttpFailure last = new HttpFailure(false, "no operators' address is given");
+    for (Address a : hosts) {
+      try {
+        return send(HttpCall.json("POST", uri(a, path), Json.bytes(body), EDIT_TIMEOUT));
+      } catch (HttpFailure e) {
+        if (e.maySent()) {
+          throw e;
+        }
+        last = e;
+      }
+    }
+    throw last;
+  }
+
+  private URI uri(Address a, String path) {
+    return URI.create(scheme + a + path);
+  }
+
+  private Answer send(HttpCall call) {
+    HttpCall signed = token.map(t -> call.withHeader("Authorization", "Bearer " + t)).orElse(call);
+    HttpReply reply;
+    try {
+      reply = caller.call(signed).join();
+    } catch (CompletionException e) {
+      throw HttpFailure.of(e);
+    }
+    JsonNode body =
+        Json.parse(reply.body())
+            .orElseThrow(
+                () -> new HttpFailure(true, "the answer of " + call.uri() + " is not JSON"));
+    return new Answer(reply.status(), body);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/membership/Probe.java
@@ -0,0 +1,35 @@
+package dev.cactusstack.decisions.membership;
+
+import dev.cactusstack.model.Address;
+import java.util.Objects;
+
+/** The messages of failure detection. Immutable and thread-safe. */
+public sealed interface Probe {
+
+  /**
+   * Asks the receiver to answer.
+   *
+   * @param number matches the answer to the question
+   */
+  record Ping(long number) implements Probe {}
+
+  /**
+   * Answers a ping.
+   *
+   * @param number the ping's number
+   */
+  record Ack(long number) implements Probe {}
+
+  /**
+   * Asks the receiver to ping another member and to pass the answer on.
+   *
+   * @param number the number that the passed-on answer carries
+   * @param target the member's link address
+   */
+  record PingRequest(long number, Address target) implements Probe {
+    /** Checks the target. */
+    public PingRequest {
+      Objects.requireNonNull(target, "target is null");
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/recovery/Plan.java
@@ -0,0 +1,115 @@
+package dev.cactusstack.decisions.recovery;
+
+import dev.cactusstack.model.DataCentreRow;
+import dev.cactusstack.model.EditOutcome;
+import dev.cactusstack.model.Route;
+import dev.cactusstack.model.Table;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+
+/**
+ * A change of the table under one operation id. Implementations are immutable and thread-safe.
+ *
+ * <p>The rows of a commit carry the version each must still have. So once a row has another
+ * version, an earlier commit of the same rows, whose answer was lost, can no longer take effect.
+ */
+public interface Plan {
+
+  /**
+   * Returns the operation's id.
+   *
+   * @return the id
+   */
+  String operation();
+
+  /**
+   * Checks the change against the table and computes the rows to commit.
+   *
+   * @param table the table as just read
+   * @return rows that carry the version each must still have; or an outcome that ends the change
+   */
+  Step against(Table table);
+
+  /**
+   * Finds out whether the operation is committed.
+   *
+   * @param table the table as just read
+   * @return the version that contains it, if a row still remembers it
+   */
+  OptionalLong appliedIn(Table table);
+
+  /** What to do after a read of the table. */
+  sealed interface Step {
+    /**
+     * Commit these rows.
+     *
+     * @param routes rows that carry the version each must still have
+     * @param dataCentres rows that carry the version each must still have
+     */
+    record Commit(List<Route> routes, List<DataCentreRow> dataCentres) implements Step {
+      /** Copies the rows. */
+      public Commit {
+        routes = List.copyOf(routes);
+        dataCentres = List.copyOf(dataCentres);
+      }
+
+      /**
+       * Finds out what became of this commit when its answer was lost. All rows are written
+       * together or none is.
+       *
+       * @param now the table as just read
+       * @return what the rows tell
+       */
+      public CommitFate fate(Table now) {
+        Objects.requireNonNull(now, "now is null");
+        return Stream.concat(
+                routes.stream()
+                    .map(
+                        r ->
+                            now.route(r.key())
+                                .map(
+                                    n ->
+                                        rowFate(
+                                            r.version(),
+                                            r.operations(),
+                                            n.version(),
+                                            n.operations()))
+                                .orElse(CommitFate.UNTRACEABLE)),
+                dataCentres.stream()
+                    .map(
+                        d -> {
+                          DataCentreRow n = now.dataCentres().get(d.dataCentre());
+                          return n == null
+                              ? CommitFate.UNTRACEABLE
+                              : rowFate(d.version(), d.operations(), n.version(), n.operations());
+                        }))
+            .reduce(CommitFate::and)
+            .orElse(CommitFate.UNTRACEABLE);
+      }
+
+      private static CommitFate rowFate(
+          long expected, List<String> written, long version, List<String> operations) {
+        if (version == expected) {
+          return CommitFate.OPEN;
+        }
+        if (operations.contains(written.get(0))) {
+          return CommitFate.APPLIED;
+        }
+        boolean remembersAll =
+            written.size() == 1
+                ? operations.size() < Route.OPERATIONS_KEPT
+                : operations.contains(written.get(1));
+        return remembersAll ? CommitFate.RULED_OUT : CommitFate.UNTRACEABLE;
+      }
+    }
+
+    /**
+     * Nothing is left to commit.
+     *
+     * @param outcome what became of the change
+     */
+    record Done(EditOutcome outcome) implements Step {}
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/retries/RequestTraits.java
@@ -0,0 +1,13 @@
+package dev.cactusstack.decisions.retries;
+
+/**
+ * What a retry depends on. Immutable and thread-safe.
+ *
+ * @param idempotent whether running the request twice has the effect of running it once
+ * @param bodyReplayable whether the whole body can still be sent
+ * @param attemptsLeft whether the number of attempts, the retry budget and the deadline allow
+ *     another
+ * @param neverPossiblyRun whether every earlier attempt proved that the request did not run
+ */
+public record RequestTraits(
+    boolean idempotent, boolean bodyReplayable, boolean attemptsLeft, boolean neverPossiblyRun) {}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/retries/package-info.java
@@ -0,0 +1,5 @@
+/** Decides whether a request may be sent again and what its caller is told. */
+@NullMarked
+package dev.cactusstack.decisions.retries;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Chooses the owner of a route, the data centre and the upstream of a request. */
+@NullMarked
+package dev.cactusstack.decisions.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/embedded/src/main/java/dev/cactusstack/embedded/EmbeddedMain.java
@@ -0,0 +1,94 @@
+package dev.cactusstack.embedded;
+
+import dev.cactusstack.decisions.routing.PickPolicy;
+import dev.cactusstack.host.EntryHost;
+import dev.cactusstack.host.HostMain;
+import dev.cactusstack.host.ShutdownSignals;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.host.observe.LogSetup;
+import dev.cactusstack.standin.Deployment;
+import java.io.IOException;
+import java.util.stream.Collectors;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** The command line of {@code bin/cactusstack --embedded}. */
+public final class EmbeddedMain {
+  private static final int MAX_HOSTS = 64;
+  private static final int MAX_PORT = 65_535;
+  private static final long READY_TIMEOUT_MS = 15_000;
+  private static final long SEED = 1;
+
+  /** Callers of the embedded site look up often, so that it stops quickly. */
+  private static final String EXTRA = "";
+
+  private EmbeddedMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   * @throws IOException when help cannot be printed
+   * @throws InterruptedException when the main thread is interrupted
+   */
+  public static void main(String[] args) throws IOException, InterruptedException {
+    LogSetup.install();
+    OptionParser parser = HostMain.parser();
+    try {
+      OptionSet options = parser.parse(args);
+      if (options.has("help")) {
+        parser.printHelpOn(System.out);
+        return;
+      }
+      run(
+          number(options, "hosts", 1, MAX_HOSTS),
+          number(options, "callers-port", 0, MAX_PORT),
+          number(options, "operators-port", 0, MAX_PORT));
+    } catch (OptionException | IllegalArgumentException e) {
+      System.err.println(
+          Event.named("invalid_arguments")
+              .with("reason", String.valueOf(e.getMessage()))
+              .with("remedy", "see --help"));
+      System.exit(HostMain.EXIT_INVALID);
+    }
+  }
+
+  private static int number(OptionSet options, String name, int min, int max) {
+    int n = (Integer) options.valueOf(name);
+    if (n < min || n > max) {
+      throw new IllegalArgumentException(
+          "--" + name + "=" + n + " is not a number from " + min + " to " + max);
+    }
+    return n;
+  }
+
+  private static void run(int count, int callersPort, int operatorsPort)
+      throws InterruptedException {
+    Site site = Site.start(Deployment.QAZYNA, 1, SEED);
+    EmbeddedHosts embedded =
+        EmbeddedHosts.start(
+            site,
+            count,
+            callersPort,
+            operatorsPort,
+            PickPolicy.EXPECTED_ANSWER,
+            System.getenv(),
+            EXTRA);
+    ShutdownSignals.install(embedded.hosts());
+    boolean ready = embedded.awaitReady(READY_TIMEOUT_MS);
+    EntryHost first = embedded.hosts().get(0);
+    System.out.println(
+        Event.named(ready ? "ready" : "not_ready")
+            .with("callers", first.callersAddress())
+            .with("operators", first.operatorsAddress())
+            .with("hosts", count)
+            .with("platform", "127.0.0.1:" + site.platform().port())
+            .with(
+                "all_callers",
+                embedded.hosts().stream()
+                    .map(h -> h.callersAddress().toString())
+                    .collect(Collectors.joining(","))));
+    Thread.currentThread().join();
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -0,0 +1,294 @@
+package dev.cactusstack.host;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusstack.decisions.limits.SpendingLimit;
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.membership.MemberInfo;
+import dev.cactusstack.decisions.membership.MemberStatus;
+import dev.cactusstack.decisions.routing.PickPolicy;
+import dev.cactusstack.host.callers.CallersServer;
+import dev.cactusstack.host.callers.ForwardToken;
+import dev.cactusstack.host.control.ConfigurationController;
+import dev.cactusstack.host.control.ControlLoop;
+import dev.cactusstack.host.control.Controllers;
+import dev.cactusstack.host.control.EditService;
+import dev.cactusstack.host.control.MembershipController;
+import dev.cactusstack.host.control.RatesController;
+import dev.cactusstack.host.control.UpstreamsController;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.host.observe.Metrics;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.host.operators.OperatorsServer;
+import dev.cactusstack.host.operators.OperatorsView;
+import dev.cactusstack.http.HttpCaller;
+import dev.cactusstack.link.KeyRing;
+import dev.cactusstack.link.LinkCodec;
+import dev.cactusstack.link.LinkKey;
+import dev.cactusstack.link.LinkTransport;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.platform.HttpPlatform;
+import dev.cactusstack.settings.HostSettings;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * One entry host: all its parts, started and stopped together.
+ *
+ * <p>Invariant: a host that stops leaves the answers to look-ups first, and closes its ports last.
+ * Thread-safe.
+ */
+public final class EntryHost implements AutoCloseable {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int LINK_BURST_SECONDS = 10;
+  private static final long POLL_MS = 20;
+
+  private final HostSettings settings;
+  private final Ticker ticker;
+  private final XnioWorker worker;
+  private final ControlLoop loop;
+  private final LinkTransport transport;
+  private final Controllers controllers;
+  private final CallersServer callers;
+  private final OperatorsServer operators;
+  private volatile boolean closed;
+
+  private EntryHost(HostSettings settings, Ticker ticker, InstantSource clock, PickPolicy policy) {
+    this.settings = Objects.requireNonNull(settings, "settings is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+    Objects.requireNonNull(clock, "clock is null");
+    worker = controlWorker();
+    loop = new ControlLoop(settings.id().value(), ticker);
+    var metrics = new Metrics();
+    var platform =
+        new HttpPlatform(
+            new HttpCaller(worker, Optional.empty()),
+            settings.platform().address(),
+            Duration.ofMillis(settings.platform().timeoutMs()));
+    KeyRing keys = keyRing(settings);
+    var receiver = new LateReceiver();
+    transport = LinkTransport.open(new LinkCodec(keys), settings.link().address(), receiver);
+    Member self = self(settings, clock.millis());
+    var budget =
+        new SpendingLimit(
+            settings.link().bytesPerSecond(),
+            (double) settings.link().bytesPerSecond() * LINK_BURST_SECONDS,
+            ticker.millis());
+    var sender = new BudgetedSender(transport, budget, ticker);
+    var members = new MembershipController(self, sender, ticker, new Random(clock.millis()));
+    var configuration =
+        new ConfigurationController(
+            platform, members, sender, loop, ticker, settings.platform().readIntervalMs());
+    var upstreams =
+        new UpstreamsController(
+            platform, members, loop, ticker, policy, settings.requests().queueLength());
+    callers =
+        new CallersServer(
+            settings.callers(),
+            settings.requests(),
+            upstreams::view,
+            new ForwardToken(settings.id(), keys, clock),
+            metrics,
+            ticker);
+    var rates = new RatesController(callers.arrivals(), members, ticker);
+    controllers = new Controllers(loop, members, configuration, upstreams, rates);
+    receiver.open(controllers);
+    operators =
+        new OperatorsServer(
+            settings.operators(),
+            settings.operators().tls().map(TlsKeys::load),
+            new OperatorsView(settings.id(), configuration, members, upstreams, ticker),
+            new EditService(platform, configuration),
+            metrics);
+    addGauges(metrics, budget);
+  }
+
+  private void addGauges(Metrics metrics, SpendingLimit budget) {
+    metrics.gauge(
+        "cactusstack.link.sent.bytes", "Bytes sent to other hosts", transport, t -> t.sentBytes());
+    metrics.gauge(
+        "cactusstack.link.rejected", "Datagrams not accepted", transport, t -> t.rejected());
+    metrics.gauge(
+        "cactusstack.link.over.budget",
+        "Datagrams not sent because the budget was spent",
+        budget,
+        b -> b.refused());
+    metrics.gauge(
+        "cactusstack.configuration.version",
+        "Table version in force",
+        controllers.configuration(),
+        c -> c.inForce().version());
+  }
+
+  private static XnioWorker controlWorker() {
+    try {
+      return Xnio.getInstance()
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_NAME, "control")
+                  .set(Options.WORKER_IO_THREADS, 1)
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.THREAD_DAEMON, true)
+                  .getMap());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static KeyRing keyRing(HostSettings s) {
+    return new KeyRing(s.link().keys().stream().map(k -> new LinkKey(k.id(), k.secret())).toList());
+  }
+
+  private static Member self(HostSettings s, long incarnation) {
+    var info =
+        new MemberInfo(
+            1,
+            s.dataCentre(),
+            s.link().address(),
+            s.callers().address(),
+            s.operators().address(),
+            0,
+            false,
+            List.of());
+    return new Member(s.id(), incarnation, MemberStatus.ALIVE, info);
+  }
+
+  /**
+   * Starts a host.
+   *
+   * @param settings its settings
+   * @param ticker a steady clock
+   * @param clock wall time
+   * @param policy chooses among the upstreams of a route
+   * @return the running host, which may not have any configuration yet
+   */
+  public static EntryHost start(
+      HostSettings settings, Ticker ticker, InstantSource clock, PickPolicy policy) {
+    var host = new EntryHost(settings, ticker, clock, policy);
+    host.loop.start();
+    host.callers.start();
+    host.operators.start();
+    return host;
+  }
+
+  /**
+   * Returns the settings.
+   *
+   * @return the settings
+   */
+  public HostSettings settings() {
+    return settings;
+  }
+
+  /**
+   * Returns the address for callers.
+   *
+   * @return the address
+   */
+  public Address callersAddress() {
+    return settings.callers().address();
+  }
+
+  /**
+   * Returns the address for operators.
+   *
+   * @return the address
+   */
+  public Address operatorsAddress() {
+    return settings.operators().address();
+  }
+
+  /**
+   * Returns the state of the host's controllers.
+   *
+   * @return the controllers
+   */
+  public Controllers controllers() {
+    return controllers;
+  }
+
+  /**
+   * Returns the bytes sent to other hosts since the start.
+   *
+   * @return the count
+   */
+  public long linkBytes() {
+    return transport.sentBytes();
+  }
+
+  /**
+   * Waits until the host has configuration and an owner for some route.
+   *
+   * @param timeoutMs the longest wait
+   * @return false when it has none by then
+   * @throws InterruptedException when the waiting thread is interrupted
+   */
+  public boolean awaitReady(long timeoutMs) throws InterruptedException {
+    long end = ticker.millis() + timeoutMs;
+    while (controllers.upstreams().view().owners().isEmpty()) {
+      if (ticker.millis() >= end) {
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+    }
+    return true;
+  }
+
+  /**
+   * Leaves in good order: first the answers to look-ups, then, when callers' answers have expired
+   * and no request is in flight, the ports.
+   *
+   * @return the number of requests cut off because the drain timeout passed
+   * @throws InterruptedException when the waiting thread is interrupted
+   */
+  public int leave() throws InterruptedException {
+    LOG.atInfo().log(
+        "%s",
+        Event.named("leaving").with("host", settings.id()).with("in_flight", callers.inFlight()));
+    controllers.announceLeaving();
+    callers.beginDrain();
+    TimeUnit.MILLISECONDS.sleep(settings.callers().entriesTtlMs());
+    long end = ticker.millis() + settings.requests().drainTimeoutMs();
+    while (callers.inFlight() > 0 && ticker.millis() < end) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+    }
+    int cutOff = callers.inFlight();
+    close();
+    LOG.atInfo().log("%s", Event.named("left").with("host", settings.id()).with("cut_off", cutOff));
+    return cutOff;
+  }
+
+  /**
+   * Returns the number of requests in flight.
+   *
+   * @return the count
+   */
+  public int inFlight() {
+    return callers.inFlight();
+  }
+
+  /** Stops at once, as in a crash: requests in flight are cut off. */
+  @Override
+  public void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    callers.close();
+    operators.close();
+    loop.close();
+    transport.close();
+    worker.shutdown();
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/LateReceiver.java
@@ -0,0 +1,24 @@
+package dev.cactusstack.host;
+
+import dev.cactusstack.host.control.Controllers;
+import dev.cactusstack.link.LinkMessage;
+import dev.cactusstack.model.Address;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/** Passes datagrams to the controllers once they exist; drops earlier ones. Thread-safe. */
+final class LateReceiver implements BiConsumer<Address, LinkMessage> {
+  private volatile @Nullable Controllers controllers;
+
+  void open(Controllers c) {
+    controllers = c;
+  }
+
+  @Override
+  public void accept(Address from, LinkMessage m) {
+    Controllers c = controllers;
+    if (c != null) {
+      c.receive(from, m);
+    }
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -0,0 +1,307 @@
+package dev.cactusstack.host.callers;
+
+import dev.cactusstack.decisions.retries.AttemptEvent;
+import dev.cactusstack.decisions.retries.AttemptState;
+import dev.cactusstack.host.callers.ConnectionPools.Freshness;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.model.Address;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.Transfer;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One attempt to run a request at an upstream or at another host, with both bodies streamed.
+ *
+ * <p>Invariants: the listener is told of exactly one end; a connection goes back to its pool only
+ * after both messages have passed whole, and is closed otherwise. Confined to the exchange's I/O
+ * thread.
+ */
+final class Attempt {
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private final HttpServerExchange exchange;
+  private final XnioIoThread thread;
+  private final ConnectionPools pools;
+  private final Ticker ticker;
+  private final Address to;
+  private final ClientRequest request;
+  private final int answerTimeoutMs;
+  private final Listener listener;
+  private AttemptState state = AttemptState.NOT_SENT;
+  private @Nullable ClientConnection connection;
+  private XnioExecutor.@Nullable Key timer;
+  private boolean bodySent;
+  private boolean ended;
+  private long sentNanos;
+
+  /** Follows an attempt. Called on the exchange's I/O thread. */
+  interface Listener {
+    /**
+     * The head of an answer has arrived. Returns false to refuse it, which ends the attempt.
+     *
+     * @param response the head
+     * @param waitedNanos from sending the request to now
+     */
+    boolean answered(ClientResponse response, long waitedNanos);
+
+    /** The whole answer has arrived. */
+    void completed();
+
+    /** The attempt has failed. */
+    void failed(AttemptState state, AttemptEvent cause, String reason);
+  }
+
+  Attempt(
+      HttpServerExchange exchange,
+      ConnectionPools pools,
+      Ticker ticker,
+      Address to,
+      ClientRequest request,
+      int answerTimeoutMs,
+      Listener listener) {
+    this.exchange = exchange;
+    this.thread = exchange.getIoThread();
+    this.pools = pools;
+    this.ticker = ticker;
+    this.to = to;
+    this.request = request;
+    this.answerTimeoutMs = answerTimeoutMs;
+    this.listener = listener;
+  }
+
+  void start(Freshness freshness) {
+    pools.acquire(
+        thread,
+        to,
+        freshness,
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientConnection c) {
+            send(c);
+          }
+
+          @Override
+          public void failed(IOException e) {
+            fail(AttemptEvent.CONNECT_FAILED, e);
+          }
+        });
+  }
+
+  /** Ends the attempt because its answer is no longer wanted. */
+  void cancel() {
+    ended = true;
+    stopTimer();
+    IoUtils.safeClose(connection);
+  }
+
+  private void send(ClientConnection c) {
+    connection = c;
+    if (ended) {
+      IoUtils.safeClose(c);
+      return;
+    }
+    state = state.after(AttemptEvent.SEND_STARTED);
+    sentNanos = ticker.nanos();
+    timer = thread.executeAfter(this::timedOut, answerTimeoutMs, TimeUnit.MILLISECONDS);
+    c.sendRequest(
+        request,
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientExchange x) {
+            x.setResponseListener(new AnswerHead());
+            sendBody(x.getRequestChannel());
+          }
+
+          @Override
+          public void failed(IOException e) {
+            fail(AttemptEvent.CONNECTION_LOST, e);
+          }
+        });
+  }
+
+  private void sendBody(StreamSinkChannel sink) {
+    if (exchange.isRequestComplete()) {
+      finishBody(sink);
+      return;
+    }
+    StreamSourceChannel source = exchange.getRequestChannel();
+    if (source == null) {
+      finishBody(sink);
+      return;
+    }
+    Transfer.initiateTransfer(
+        source,
+        sink,
+        null,
+        this::finishBody,
+        (ch, e) -> callerFailed(e),
+        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
+        buffers());
+  }
+
+  private void finishBody(StreamSinkChannel sink) {
+    try {
+      sink.shutdownWrites();
+      if (sink.flush()) {
+        sink.suspendWrites();
+        bodySent = true;
+        return;
+      }
+      ChannelListener<StreamSinkChannel> flushed =
+          ch -> {
+            ch.suspendWrites();
+            bodySent = true;
+          };
+      sink.getWriteSetter()
+          .set(
+              ChannelListeners.flushingChannelListener(
+                  flushed, (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e)));
+      sink.resumeWrites();
+    } catch (IOException e) {
+      fail(AttemptEvent.CONNECTION_LOST, e);
+    }
+  }
+
+  private void callerFailed(IOException e) {
+    cancel();
+    listener.failed(
+        state, AttemptEvent.CONNECTION_LOST, "the request's body failed: " + e.getMessage());
+  }
+
+  /** Receives the head of the answer. */
+  private final class AnswerHead implements ClientCallback<ClientExchange> {
+    @Override
+    public void completed(ClientExchange x) {
+      receive(x);
+    }
+
+    @Override
+    public void failed(IOException e) {
+      fail(AttemptEvent.CONNECTION_LOST, e);
+    }
+  }
+
+  private void receive(ClientExchange x) {
+    if (ended) {
+      return;
+    }
+    stopTimer();
+    ClientResponse response = x.getResponse();
+    if (CactusHeaders.OUTCOME_NOT_RUN.equals(
+        response.getResponseHeaders().getFirst(CactusHeaders.OUTCOME))) {
+      fail(AttemptEvent.REFUSED, new IOException(refusal(response)));
+      return;
+    }
+    String unframed = framingFault(response);
+    if (!unframed.isEmpty()) {
+      fail(AttemptEvent.CONNECTION_LOST, new IOException(unframed));
+      return;
+    }
+    state = state.after(AttemptEvent.ANSWER_STARTED);
+    if (!listener.answered(response, ticker.nanos() - sentNanos)) {
+      cancel();
+      return;
+    }
+    Transfer.initiateTransfer(
+        x.getResponseChannel(),
+        exchange.getResponseChannel(),
+        null,
+        this::finishAnswer,
+        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
+        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
+        buffers());
+  }
+
+  private static String refusal(ClientResponse r) {
+    return "it answered " + r.getResponseCode() + " and said that it did not run the request";
+  }
+
+  /** An answer whose end cannot be told from a cut is not passed on (RFC 9112, section 8). */
+  private String framingFault(ClientResponse response) {
+    HeaderMap h = response.getResponseHeaders();
+    int code = response.getResponseCode();
+    boolean bodiless =
+        request.getMethod().equals(Methods.HEAD) || code == NO_CONTENT || code == NOT_MODIFIED;
+    if (h.contains(Headers.CONTENT_LENGTH) && h.contains(Headers.TRANSFER_ENCODING)) {
+      return "its answer has both a length and a transfer encoding";
+    }
+    if (h.contains(Headers.CONTENT_LENGTH) && h.count(Headers.CONTENT_LENGTH) > 1) {
+      return "its answer has several lengths";
+    }
+    boolean framed = h.contains(Headers.CONTENT_LENGTH) || h.contains(Headers.TRANSFER_ENCODING);
+    return bodiless || framed ? "" : "its answer has neither a length nor chunks";
+  }
+
+  private void finishAnswer(StreamSinkChannel sink) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    // A request that was answered before its body had been sent leaves the connection unusable.
+    if (connection != null && bodySent) {
+      pools.release(thread, to, connection);
+    } else {
+      IoUtils.safeClose(connection);
+    }
+    listener.completed();
+    finishCaller(sink);
+  }
+
+  private void finishCaller(StreamSinkChannel sink) {
+    try {
+      sink.shutdownWrites();
+      if (!sink.flush()) {
+        sink.getWriteSetter()
+            .set(
+                ChannelListeners.flushingChannelListener(
+                    ch -> ch.suspendWrites(),
+                    (ch, e) -> IoUtils.safeClose(exchange.getConnection())));
+        sink.resumeWrites();
+      }
+    } catch (IOException e) {
+      IoUtils.safeClose(exchange.getConnection());
+    }
+  }
+
+  private void timedOut() {
+    fail(AttemptEvent.TIMED_OUT, new IOException("no answer within " + answerTimeoutMs + " ms"));
+  }
+
+  private void fail(AttemptEvent cause, IOException e) {
+    if (ended) {
+      return;
+    }
+    cancel();
+    state = state.after(cause);
+    listener.failed(state, cause, String.valueOf(e.getMessage()));
+  }
+
+  private void stopTimer() {
+    if (timer != null) {
+      timer.remove();
+    }
+  }
+
+  private ByteBufferPool buffers() {
+    return exchange.getConnection().getByteBufferPool();
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/Lease.java
@@ -0,0 +1,40 @@
+package dev.cactusstack.host.callers;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * The right to have one request in flight at an upstream.
+ *
+ * <p>Invariant: it is released once, however often {@link #release} is called. Thread-safe.
+ */
+final class Lease {
+  private final Upstream upstream;
+  private final RouteScheduler scheduler;
+  private final long startNanos;
+  private final AtomicBoolean released = new AtomicBoolean();
+
+  Lease(Upstream upstream, RouteScheduler scheduler, long startNanos) {
+    this.upstream = upstream;
+    this.scheduler = scheduler;
+    this.startNanos = startNanos;
+  }
+
+  Upstream upstream() {
+    return upstream;
+  }
+
+  long startNanos() {
+    return startNanos;
+  }
+
+  boolean isReleased() {
+    return released.get();
+  }
+
+  void release() {
+    if (released.compareAndSet(false, true)) {
+      upstream.released(this);
+      scheduler.released();
+    }
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/Outcome.java
@@ -0,0 +1,19 @@
+package dev.cactusstack.host.callers;
+
+/** What a caller is told about the request's execution. Immutable and thread-safe. */
+enum Outcome {
+  /** The request certainly did not run. */
+  NOT_RUN("not-run"),
+  /** The request may have run. */
+  UNKNOWN("unknown");
+
+  private final String label;
+
+  Outcome(String label) {
+    this.label = label;
+  }
+
+  String label() {
+    return label;
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/Problems.java
@@ -0,0 +1,40 @@
+package dev.cactusstack.host.callers;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusstack.http.Json;
+import dev.cactusstack.model.Problem;
+import dev.cactusstack.model.ProblemKind;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
+
+/** Writes answers that the system makes itself, in the form of RFC 9457. Stateless. */
+final class Problems {
+  private Problems() {}
+
+  static void send(HttpServerExchange x, Problem p, Outcome outcome) {
+    if (x.isResponseStarted()) {
+      return;
+    }
+    x.setStatusCode(p.kind().status());
+    x.getResponseHeaders().clear();
+    x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
+    x.getResponseHeaders().put(CactusHeaders.OUTCOME, outcome.label());
+    if (p.kind() == ProblemKind.OVERLOADED) {
+      x.getResponseHeaders().put(Headers.RETRY_AFTER, 1);
+    }
+    // An unread body would have to be drained before the connection could serve another request.
+    if (!x.isRequestComplete()) {
+      x.setPersistent(false);
+    }
+    ObjectNode n =
+        Json.object()
+            .put("type", "about:blank")
+            .put("title", p.message())
+            .put("status", p.kind().status())
+            .put("kind", p.kind().label())
+            .put("remedy", p.remedy())
+            .put("outcome", outcome.label());
+    x.getResponseSender().send(ByteBuffer.wrap(Json.bytes(n)));
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestHeads.java
@@ -0,0 +1,62 @@
+package dev.cactusstack.host.callers;
+
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.DataCentre;
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Protocols;
+
+/** Builds the heads of requests to upstreams and to other hosts. Stateless. */
+final class RequestHeads {
+  private static final String VIA = "1.1 cactusstack";
+
+  private RequestHeads() {}
+
+  static ClientRequest toUpstream(HttpServerExchange x, RequestFacts facts, Address to) {
+    ClientRequest r = head(x, facts);
+    if (facts.forwardedTo().isEmpty()) {
+      addCaller(x, r.getRequestHeaders());
+    }
+    return r;
+  }
+
+  static ClientRequest toOwner(
+      HttpServerExchange x, RequestFacts facts, DataCentre dataCentre, String token) {
+    ClientRequest r = head(x, facts);
+    addCaller(x, r.getRequestHeaders());
+    r.getRequestHeaders().put(CactusHeaders.FORWARDED, token);
+    r.getRequestHeaders().put(CactusHeaders.DATA_CENTRE, dataCentre.value());
+    return r;
+  }
+
+  private static ClientRequest head(HttpServerExchange x, RequestFacts facts) {
+    var r = new ClientRequest();
+    r.setMethod(x.getRequestMethod());
+    r.setProtocol(Protocols.HTTP_1_1);
+    r.setPath(target(x));
+    HeaderMap to = r.getRequestHeaders();
+    CactusHeaders.copyEndToEnd(x.getRequestHeaders(), to);
+    // The host answers an expectation itself, when it begins to read the body.
+    to.remove(Headers.EXPECT);
+    boolean chunked = !facts.bodiless() && !to.contains(Headers.CONTENT_LENGTH);
+    if (chunked) {
+      to.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+    }
+    to.add(Headers.VIA, VIA);
+    return r;
+  }
+
+  private static String target(HttpServerExchange x) {
+    String query = x.getQueryString();
+    String uri = x.isHostIncludedInRequestURI() ? x.getRequestPath() : x.getRequestURI();
+    return query.isEmpty() ? uri : uri + "?" + query;
+  }
+
+  private static void addCaller(HttpServerExchange x, HeaderMap to) {
+    String ip = x.getSourceAddress().getAddress().getHostAddress();
+    String before = to.getFirst(CactusHeaders.FORWARDED_FOR);
+    to.put(CactusHeaders.FORWARDED_FOR, before == null ? ip : before + ", " + ip);
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
@@ -0,0 +1,229 @@
+package dev.cactusstack.host.callers;
+
+import dev.cactusstack.decisions.routing.PickPolicy;
+import dev.cactusstack.decisions.routing.UpstreamView;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.Problem;
+import dev.cactusstack.model.ProblemKind;
+import dev.cactusstack.model.RouteKey;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The owner's view of one route: its upstreams, the requests in flight and one queue.
+ *
+ * <p>Invariants: requests in flight never exceed the route's limit, nor an upstream's; a request
+ * that waits is granted a lease as soon as one is free. Thread-safe without locks.
+ */
+public final class RouteScheduler {
+  private final RouteKey key;
+  private final PickPolicy policy;
+  private final Ticker ticker;
+  private final ConcurrentLinkedQueue<Waiter> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger waiting = new AtomicInteger();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger turn = new AtomicInteger();
+  private volatile List<Upstream> upstreams = List.of();
+  private volatile RouteLimits limits = new RouteLimits(0, 1, 0);
+
+  /**
+   * Creates a scheduler without upstreams.
+   *
+   * @param key the route
+   * @param policy chooses among the upstreams
+   * @param ticker the clock
+   */
+  public RouteScheduler(RouteKey key, PickPolicy policy, Ticker ticker) {
+    this.key = Objects.requireNonNull(key, "key is null");
+    this.policy = Objects.requireNonNull(policy, "policy is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+  }
+
+  /**
+   * Returns the upstreams.
+   *
+   * @return a snapshot
+   */
+  public List<Upstream> upstreams() {
+    return upstreams;
+  }
+
+  /**
+   * Returns the number of requests in flight.
+   *
+   * @return the count
+   */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /**
+   * Returns the number of requests that wait.
+   *
+   * @return the count
+   */
+  public int waiting() {
+    return Math.max(0, waiting.get());
+  }
+
+  /**
+   * Returns how many requests may be in flight now, by limits and evidence.
+   *
+   * @return the count
+   */
+  public int capacity() {
+    RouteLimits l = limits;
+    long now = ticker.millis();
+    long sum = 0;
+    for (Upstream u : upstreams) {
+      sum += u.health().limit(l.perUpstream(), now);
+    }
+    return (int) Math.min(l.inFlight(), sum);
+  }
+
+  /**
+   * Replaces upstreams and limits.
+   *
+   * @param next the upstreams
+   * @param inFlightLimit most requests in flight over all upstreams
+   * @param perUpstream most requests in flight at one upstream
+   * @param queueLength most requests waiting
+   */
+  public void configure(List<Upstream> next, int inFlightLimit, int perUpstream, int queueLength) {
+    upstreams = List.copyOf(next);
+    limits = new RouteLimits(inFlightLimit, perUpstream, queueLength);
+    drain();
+  }
+
+  void submit(Waiter w) {
+    if (upstreams.isEmpty()) {
+      w.refuse(
+          new Problem(
+              ProblemKind.NO_UPSTREAM,
+              "route " + key + " has no upstream",
+              "check the platform's host list, then repeat the request"));
+      return;
+    }
+    if (waiting.get() >= limits.queueLength() + 1) {
+      w.refuse(
+          new Problem(
+              ProblemKind.OVERLOADED,
+              "route " + key + " has " + waiting.get() + " requests waiting",
+              "repeat the request after a pause, or raise the row's limits"));
+      return;
+    }
+    waiting.incrementAndGet();
+    queue.add(w);
+    drain();
+  }
+
+  /**
+   * Refuses every waiting request, as when another host has become the owner.
+   *
+   * @param problem what the requests are told
+   */
+  public void refuseAll(Problem problem) {
+    for (Waiter w = poll(); w != null; w = poll()) {
+      w.refuse(problem);
+    }
+  }
+
+  /** Grants leases while there are waiting requests and free capacity. */
+  public void drain() {
+    while (true) {
+      Waiter head = peekWaiting();
+      if (head == null) {
+        return;
+      }
+      Lease lease = tryLease(head.avoided());
+      if (lease == null) {
+        return;
+      }
+      Waiter w = poll();
+      if (w == null || !w.grant(lease)) {
+        lease.release();
+      }
+    }
+  }
+
+  private @Nullable Waiter peekWaiting() {
+    for (Waiter w = queue.peek(); w != null; w = queue.peek()) {
+      if (w.isWaiting()) {
+        return w;
+      }
+      if (queue.remove(w)) {
+        waiting.decrementAndGet();
+      }
+    }
+    return null;
+  }
+
+  private @Nullable Waiter poll() {
+    Waiter w = queue.poll();
+    if (w != null) {
+      waiting.decrementAndGet();
+    }
+    return w;
+  }
+
+  private @Nullable Lease tryLease(Set<Address> avoided) {
+    RouteLimits l = limits;
+    int before = inFlight.getAndUpdate(n -> n < l.inFlight() ? n + 1 : n);
+    if (before >= l.inFlight()) {
+      return null;
+    }
+    Lease lease = leaseAtUpstream(l, avoided);
+    if (lease == null) {
+      inFlight.decrementAndGet();
+    }
+    return lease;
+  }
+
+  private @Nullable Lease leaseAtUpstream(RouteLimits l, Set<Address> avoided) {
+    List<Upstream> candidates = upstreams;
+    if (!avoided.isEmpty()) {
+      Lease elsewhere = leaseAmong(without(candidates, avoided), l);
+      if (elsewhere != null) {
+        return elsewhere;
+      }
+    }
+    return leaseAmong(candidates, l);
+  }
+
+  private static List<Upstream> without(List<Upstream> all, Set<Address> avoided) {
+    return all.stream().filter(u -> !avoided.contains(u.address())).toList();
+  }
+
+  private @Nullable Lease leaseAmong(List<Upstream> candidates, RouteLimits l) {
+    // Another thread may take the chosen place first; each retry sees the newer counts.
+    for (int i = 0; i <= candidates.size(); i++) {
+      long now = ticker.nanos();
+      var views = new ArrayList<UpstreamView>(candidates.size());
+      for (Upstream u : candidates) {
+        views.add(u.view(l.perUpstream(), now));
+      }
+      OptionalInt choice = policy.pick(views, turn.getAndIncrement());
+      if (choice.isEmpty()) {
+        return null;
+      }
+      int at = choice.getAsInt();
+      Lease lease = candidates.get(at).tryLease(views.get(at).limit(), this, now);
+      if (lease != null) {
+        return lease;
+      }
+    }
+    return null;
+  }
+
+  void released() {
+    inFlight.decrementAndGet();
+    drain();
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/ServiceFilter.java
@@ -0,0 +1,101 @@
+package dev.cactusstack.host.callers;
+
+import dev.cactusstack.model.DataCentre;
+import dev.cactusstack.model.Problem;
+import dev.cactusstack.model.ProblemKind;
+import dev.cactusstack.model.Result;
+import dev.cactusstack.model.RouteKey;
+import dev.cactusstack.model.ServiceName;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/** Finds out which service a request is for, and runs it. Thread-safe. */
+final class ServiceFilter implements HttpHandler {
+  /** RFC 9110, section 9.2.2. */
+  private static final Set<HttpString> IDEMPOTENT =
+      Set.of(
+          Methods.GET, Methods.HEAD, Methods.OPTIONS, Methods.TRACE, Methods.PUT, Methods.DELETE);
+
+  private final DataPath path;
+
+  ServiceFilter(DataPath path) {
+    this.path = path;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange x) {
+    long arrived = path.ticker().nanos();
+    if (x.getRequestMethod().equals(Methods.CONNECT)) {
+      Problems.send(
+          x, Problem.invalid("CONNECT is not served", "use another method"), Outcome.NOT_RUN);
+      return;
+    }
+    service(x)
+        .flatMap(s -> facts(x, s, arrived))
+        .fold(
+            p -> {
+              Problems.send(x, p, Outcome.NOT_RUN);
+              return true;
+            },
+            f -> {
+              run(x, f);
+              return true;
+            });
+  }
+
+  private Result<ServiceName> service(HttpServerExchange x) {
+    String host = x.getRequestHeaders().getFirst(Headers.HOST);
+    if (host == null) {
+      return Result.failure(Problem.invalid("the request has no Host", "send 'Host: SERVICE'"));
+    }
+    String name = host.split("[.:]", 2)[0].toLowerCase(Locale.ROOT);
+    return ServiceName.parse(name)
+        .flatMap(
+            s -> {
+              RoutingView v = path.view().get();
+              return v.knows(s)
+                  ? Result.success(s)
+                  : Result.failure(EntriesFilter.unknownService(v, s));
+            });
+  }
+
+  private Result<RequestFacts> facts(HttpServerExchange x, ServiceName s, long arrived) {
+    boolean idempotent = IDEMPOTENT.contains(x.getRequestMethod());
+    boolean bodiless = x.isRequestComplete();
+    String token = x.getRequestHeaders().getFirst(CactusHeaders.FORWARDED);
+    if (token == null || !path.token().verify(token)) {
+      path.arrivals().count(s);
+      return Result.success(new RequestFacts(s, idempotent, bodiless, Optional.empty(), arrived));
+    }
+    return ownedDataCentre(x, s)
+        .map(d -> new RequestFacts(s, idempotent, bodiless, Optional.of(d), arrived));
+  }
+
+  /** A request that was passed on is accepted only by the owner of its route. */
+  private Result<DataCentre> ownedDataCentre(HttpServerExchange x, ServiceName s) {
+    String name = x.getRequestHeaders().getFirst(CactusHeaders.DATA_CENTRE);
+    return DataCentre.parse(name == null ? "" : name)
+        .flatMap(
+            d -> {
+              var owner = path.view().get().owner(new RouteKey(s, d));
+              return owner.orElse(null) instanceof RouteOwner.Local
+                  ? Result.success(d)
+                  : Result.failure(
+                      new Problem(
+                          ProblemKind.MISDIRECTED,
+                          "this host does not own " + s + "/" + d,
+                          "wait until the members agree; the sender repeats the request"));
+            });
+  }
+
+  private void run(HttpServerExchange x, RequestFacts facts) {
+    x.dispatch(SameThreadExecutor.INSTANCE, () -> new RequestRun(x, facts, path).start());
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * The data path: a chain of filters from the callers' port to an upstream. It reads snapshots that
+ * the controllers publish, and takes no lock.
+ */
+@NullMarked
+package dev.cactusstack.host.callers;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -0,0 +1,238 @@
+package dev.cactusstack.host.control;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.routing.Rendezvous;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.http.HttpFailure;
+import dev.cactusstack.link.ChangeCursor;
+import dev.cactusstack.link.LinkBody;
+import dev.cactusstack.link.LinkMessage;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.HostId;
+import dev.cactusstack.model.Table;
+import dev.cactusstack.platform.TableStore;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the configuration in force. A few readers in each data centre read the platform's table;
+ * every host takes newer rows from the hosts that have them.
+ *
+ * <p>Invariant: the version in force never falls, and a row is replaced only by one with a higher
+ * version. Confined to the control loop, except {@link #inForce} and {@link #refresh}.
+ */
+public final class ConfigurationController {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int READERS_PER_DATA_CENTRE = 2;
+
+  /** Every host reads this much less often than a reader, in case the readers are cut off. */
+  private static final int BACKSTOP_FACTOR = 20;
+
+  private static final int ROWS_PER_PAGE = 8;
+  private static final long PULL_TIMEOUT_MS = 200;
+
+  private final TableStore store;
+  private final MembershipController members;
+  private final LinkSender sender;
+  private final Executor loop;
+  private final Ticker ticker;
+  private final long readIntervalMs;
+  private final List<Consumer<Table>> listeners = new ArrayList<>();
+  private volatile Table inForce = Table.EMPTY;
+  private volatile boolean storeReachable;
+  private boolean reading;
+  private long nextReadMs;
+  private @Nullable Pull pull;
+
+  /** Rows being taken from another host, page by page. */
+  private record Pull(Address from, ChangeCursor after, Table rows, long sentMs) {}
+
+  /**
+   * Creates a controller without any configuration.
+   *
+   * @param store the platform's table
+   * @param members the group
+   * @param sender sends messages to other hosts
+   * @param loop the control loop
+   * @param ticker the clock
+   * @param readIntervalMs between two reads of the table by a reader
+   */
+  public ConfigurationController(
+      TableStore store,
+      MembershipController members,
+      LinkSender sender,
+      Executor loop,
+      Ticker ticker,
+      long readIntervalMs) {
+    this.store = Objects.requireNonNull(store, "store is null");
+    this.members = Objects.requireNonNull(members, "members is null");
+    this.sender = Objects.requireNonNull(sender, "sender is null");
+    this.loop = Objects.requireNonNull(loop, "loop is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+    this.readIntervalMs = readIntervalMs;
+  }
+
+  /**
+   * Returns the configuration in force. Thread-safe.
+   *
+   * @return the table
+   */
+  public Table inForce() {
+    return inForce;
+  }
+
+  /**
+   * Tells whether the last read of the platform's table succeeded. Thread-safe.
+   *
+   * @return true when it did
+   */
+  public boolean isStoreReachable() {
+    return storeReachable;
+  }
+
+  /** Reads the platform's table soon, as after an accepted edit. Thread-safe. */
+  public void refresh() {
+    loop.execute(
+        () -> {
+          nextReadMs = 0;
+          tick();
+        });
+  }
+
+  /**
+   * Puts rows into force that this host has just read or committed. Thread-safe.
+   *
+   * @param rows the rows
+   */
+  public void learn(Table rows) {
+    Objects.requireNonNull(rows, "rows is null");
+    loop.execute(() -> apply(rows, "operator"));
+  }
+
+  void onChange(Consumer<Table> listener) {
+    listeners.add(listener);
+  }
+
+  void tick() {
+    long now = ticker.millis();
+    if (!reading && now >= nextReadMs) {
+      read(now);
+    }
+    pullIfBehind(now);
+  }
+
+  private void read(long now) {
+    reading = true;
+    nextReadMs = now + (isReader() ? readIntervalMs : readIntervalMs * BACKSTOP_FACTOR);
+    store
+        .changesAfter(inForce.version())
+        .whenComplete((rows, t) -> loop.execute(() -> finishRead(rows, t)));
+  }
+
+  private void finishRead(@Nullable Table rows, @Nullable Throwable t) {
+    reading = false;
+    boolean ok = rows != null;
+    if (ok != storeReachable) {
+      storeReachable = ok;
+      LOG.atInfo().log(
+          "%s",
+          Event.named("table_service")
+              .with("reachable", ok)
+              .with("reason", t == null ? "" : String.valueOf(HttpFailure.of(t).getMessage())));
+    }
+    if (rows != null) {
+      apply(rows, "table");
+    } else {
+      nextReadMs = Math.min(nextReadMs, ticker.millis() + readIntervalMs);
+    }
+  }
+
+  /**
+   * Without any configuration every host reads; afterwards only the first-ranked of a data centre.
+   */
+  private boolean isReader() {
+    if (inForce.version() == 0) {
+      return true;
+    }
+    Member self = members.self();
+    List<HostId> here =
+        members.members().values().stream()
+            .filter(m -> m.serves() && m.info().dataCentre().equals(self.info().dataCentre()))
+            .map(Member::id)
+            .toList();
+    return Rendezvous.ranked("table-reader", here, READERS_PER_DATA_CENTRE).contains(self.id());
+  }
+
+  private void pullIfBehind(long now) {
+    Pull p = pull;
+    if (p != null && now - p.sentMs < PULL_TIMEOUT_MS) {
+      return;
+    }
+    pull = null;
+    newerHost().ifPresent(to -> ask(to, ChangeCursor.afterVersion(inForce.version()), Table.EMPTY));
+  }
+
+  private Optional<Address> newerHost() {
+    SortedMap<HostId, Member> all = members.members();
+    Member self = members.self();
+    return all.values().stream()
+        .filter(m -> !m.id().equals(self.id()))
+        .filter(m -> m.info().configVersion() > inForce.version())
+        .min(
+            Comparator.<Member>comparingInt(m -> m.status().ordinal())
+                .thenComparing(m -> !m.info().dataCentre().equals(self.info().dataCentre()))
+                .thenComparing(m -> -m.info().configVersion()))
+        .map(m -> m.info().link());
+  }
+
+  private void ask(Address to, ChangeCursor after, Table rows) {
+    pull = new Pull(to, after, rows, ticker.millis());
+    sender.send(to, new LinkMessage(members.self(), List.of(), new LinkBody.ChangesQuery(after)));
+  }
+
+  void answer(Address from, LinkBody.ChangesQuery q) {
+    LinkBody.ChangesPage page = q.after().page(inForce, ROWS_PER_PAGE);
+    sender.send(from, new LinkMessage(members.self(), List.of(), page));
+  }
+
+  void receive(Address from, LinkBody.ChangesPage page) {
+    Pull p = pull;
+    if (p == null || !p.from.equals(from)) {
+      return;
+    }
+    Table rows = p.rows.merge(page.rows());
+    ChangeCursor last = ChangeCursor.lastOf(page.rows());
+    if (page.more() && last.compareTo(p.after) > 0) {
+      ask(from, last, rows);
+    } else if (!page.more()) {
+      pull = null;
+      apply(rows, "host");
+    }
+  }
+
+  private void apply(Table rows, String source) {
+    Table before = inForce;
+    Table after = before.merge(rows);
+    if (after.version() <= before.version()) {
+      return;
+    }
+    inForce = after;
+    members.announceVersion(after.version());
+    LOG.atInfo().log(
+        "%s",
+        Event.named("configuration_in_force")
+            .with("version", after.version())
+            .with("before", before.version())
+            .with("source", source));
+    listeners.forEach(l -> l.accept(after));
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/control/EditService.java
@@ -0,0 +1,179 @@
+package dev.cactusstack.host.control;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusstack.decisions.recovery.Plan;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.http.HttpFailure;
+import dev.cactusstack.model.EditOutcome;
+import dev.cactusstack.model.Problem;
+import dev.cactusstack.model.ProblemKind;
+import dev.cactusstack.model.Table;
+import dev.cactusstack.platform.TableStore;
+import dev.cactusstack.platform.TableStore.CommitOutcome;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Commits operators' changes in the platform's table, and finds out what became of a commit whose
+ * answer was lost.
+ *
+ * <p>Invariants: accepted is said only of a change that is committed; not accepted only of one that
+ * is not committed and never will be. Thread-safe.
+ */
+public final class EditService {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int MAX_TRIES = 5;
+  private static final long RETRY_PAUSE_MS = 100;
+
+  private final TableStore store;
+  private final ConfigurationController configuration;
+
+  /**
+   * Creates a service.
+   *
+   * @param store the platform's table
+   * @param configuration puts accepted changes into force on this host
+   */
+  public EditService(TableStore store, ConfigurationController configuration) {
+    this.store = Objects.requireNonNull(store, "store is null");
+    this.configuration = Objects.requireNonNull(configuration, "configuration is null");
+  }
+
+  /**
+   * Commits a change.
+   *
+   * @param plan the change
+   * @return what became of it; never fails
+   */
+  public CompletableFuture<EditOutcome> commit(Plan plan) {
+    Objects.requireNonNull(plan, "plan is null");
+    return new Run(plan)
+        .readAndCommit(1)
+        .exceptionally(t -> new EditOutcome.Unknown(plan.operation(), internal(t)))
+        .thenApply(o -> logged(plan, o));
+  }
+
+  private static Problem internal(Throwable t) {
+    return new Problem(
+        ProblemKind.INTERNAL, String.valueOf(t), "repeat the edit with the same operation id");
+  }
+
+  private static EditOutcome logged(Plan plan, EditOutcome o) {
+    LOG.atInfo().log(
+        "%s",
+        Event.named("edit")
+            .with("operation", plan.operation())
+            .with("outcome", o.getClass().getSimpleName()));
+    return o;
+  }
+
+  /** The progress of one change. Its steps run one after the other. */
+  private final class Run {
+    private final Plan plan;
+
+    /** A commit whose answer was lost, and that may still take effect. */
+    private Plan.Step.@Nullable Commit lost;
+
+    Run(Plan plan) {
+      this.plan = plan;
+    }
+
+    CompletableFuture<EditOutcome> readAndCommit(int tries) {
+      Table known = configuration.inForce();
+      return store
+          .changesAfter(known.version())
+          .handle(
+              (rows, t) ->
+                  t == null ? decide(known.merge(rows), tries) : again(tries, HttpFailure.of(t)))
+          .thenCompose(f -> f);
+    }
+
+    private CompletableFuture<EditOutcome> decide(Table now, int tries) {
+      configuration.learn(now);
+      Plan.Step.Commit earlier = lost;
+      if (earlier == null) {
+        return start(now, tries);
+      }
+      return switch (earlier.fate(now)) {
+        case APPLIED -> done(new EditOutcome.Accepted(plan.appliedIn(now).orElse(now.version())));
+        case RULED_OUT -> {
+          lost = null;
+          yield start(now, tries);
+        }
+        // Only one of two commits that expect the same versions can take effect.
+        case OPEN -> commit(earlier, tries);
+        case UNTRACEABLE ->
+            done(unknown("the row was edited many times since, and no longer tells"));
+      };
+    }
+
+    private CompletableFuture<EditOutcome> start(Table now, int tries) {
+      Plan.Step step = plan.against(now);
+      return step instanceof Plan.Step.Commit c
+          ? commit(c, tries)
+          : done(((Plan.Step.Done) step).outcome());
+    }
+
+    private CompletableFuture<EditOutcome> commit(Plan.Step.Commit c, int tries) {
+      return store
+          .commit(c.routes(), c.dataCentres())
+          .handle((o, t) -> t == null ? committed(o, tries) : failed(c, HttpFailure.of(t), tries))
+          .thenCompose(f -> f);
+    }
+
+    private CompletableFuture<EditOutcome> committed(CommitOutcome o, int tries) {
+      if (o instanceof CommitOutcome.Committed c) {
+        configuration.refresh();
+        return done(new EditOutcome.Accepted(c.revision()));
+      }
+      if (o instanceof CommitOutcome.Refused r && lost == null) {
+        return done(notAccepted("the table service refused the edit: " + r.reason()));
+      }
+      return again(tries, new HttpFailure(lost != null, "another edit was committed meanwhile"));
+    }
+
+    private CompletableFuture<EditOutcome> failed(Plan.Step.Commit c, HttpFailure f, int tries) {
+      if (f.maySent()) {
+        lost = c;
+      }
+      return again(tries, f);
+    }
+
+    private CompletableFuture<EditOutcome> again(int tries, HttpFailure cause) {
+      if (tries >= MAX_TRIES) {
+        String reason = String.valueOf(cause.getMessage());
+        return done(lost != null ? unknown(reason) : notAccepted(reason));
+      }
+      Executor later =
+          CompletableFuture.delayedExecutor(RETRY_PAUSE_MS * tries, TimeUnit.MILLISECONDS);
+      return CompletableFuture.supplyAsync(() -> readAndCommit(tries + 1), later)
+          .thenCompose(f -> f);
+    }
+
+    private EditOutcome unknown(String reason) {
+      return new EditOutcome.Unknown(
+          plan.operation(),
+          new Problem(
+              ProblemKind.OUTCOME_UNKNOWN,
+              reason,
+              "repeat the edit with --operation "
+                  + plan.operation()
+                  + "; that cannot apply it twice"));
+    }
+
+    private EditOutcome notAccepted(String reason) {
+      return new EditOutcome.NotAccepted(
+          new Problem(
+              ProblemKind.PLATFORM_UNAVAILABLE,
+              reason,
+              "nothing was changed; repeat the edit later"));
+    }
+
+    private CompletableFuture<EditOutcome> done(EditOutcome o) {
+      return CompletableFuture.completedFuture(o);
+    }
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
@@ -0,0 +1,153 @@
+package dev.cactusstack.host.control;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.membership.MemberInfo;
+import dev.cactusstack.decisions.membership.MemberStatus;
+import dev.cactusstack.decisions.membership.Membership;
+import dev.cactusstack.decisions.membership.Outgoing;
+import dev.cactusstack.decisions.membership.Probe;
+import dev.cactusstack.decisions.membership.ProbeTimings;
+import dev.cactusstack.decisions.membership.ServiceRate;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.link.LinkBody;
+import dev.cactusstack.link.LinkMessage;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.HostId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** Keeps the members of the group. Confined to the control loop, except {@link #members}. */
+public final class MembershipController {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int MAX_RATES = 16;
+  private static final double RATE_CHANGE = 0.25;
+
+  private final Membership membership;
+  private final LinkSender sender;
+  private final Ticker ticker;
+  private final List<Consumer<SortedMap<HostId, Member>>> listeners = new ArrayList<>();
+  private volatile SortedMap<HostId, Member> published;
+
+  /**
+   * Creates a controller that knows only its own host.
+   *
+   * @param self the host's claim about itself
+   * @param sender sends messages to other hosts
+   * @param ticker the clock
+   * @param random draws the order of probes
+   */
+  public MembershipController(Member self, LinkSender sender, Ticker ticker, Random random) {
+    this.membership = new Membership(self, ProbeTimings.DEFAULT, random);
+    this.sender = Objects.requireNonNull(sender, "sender is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+    this.published = membership.members();
+  }
+
+  /**
+   * Returns the members, dead ones included. Thread-safe.
+   *
+   * @return the last published snapshot
+   */
+  public SortedMap<HostId, Member> members() {
+    return published;
+  }
+
+  Member self() {
+    return membership.self();
+  }
+
+  void onChange(Consumer<SortedMap<HostId, Member>> listener) {
+    listeners.add(listener);
+  }
+
+  void tick() {
+    membership.tick(ticker.millis()).forEach(this::send);
+    publish();
+  }
+
+  void receive(Address from, Probe probe, LinkMessage m) {
+    membership.receive(from, probe, m.sender(), m.updates(), ticker.millis()).forEach(this::send);
+    publish();
+  }
+
+  void list(Collection<Address> links) {
+    membership.list(links);
+  }
+
+  void announceVersion(long version) {
+    announce(self().info().withConfigVersion(version));
+  }
+
+  void announceLeaving() {
+    announce(self().info().withLeaving());
+  }
+
+  /** Announces the arrival rates when one has changed by a quarter or more. */
+  void announceRates(List<ServiceRate> rates) {
+    List<ServiceRate> top =
+        rates.stream()
+            .sorted((a, b) -> Float.compare(b.perSecond(), a.perSecond()))
+            .limit(MAX_RATES)
+            .toList();
+    if (differs(self().info().rates(), top)) {
+      announce(self().info().withRates(top));
+    }
+  }
+
+  private static boolean differs(List<ServiceRate> before, List<ServiceRate> now) {
+    var old = new TreeMap<String, Float>();
+    before.forEach(r -> old.put(r.service().value(), r.perSecond()));
+    return old.size() != now.size()
+        || now.stream().anyMatch(r -> moved(old.get(r.service().value()), r.perSecond()));
+  }
+
+  private static boolean moved(@org.jspecify.annotations.Nullable Float before, float now) {
+    return before == null || Math.abs(now - before) > RATE_CHANGE * Math.max(1f, before);
+  }
+
+  private void announce(MemberInfo info) {
+    membership.announce(info);
+    publish();
+  }
+
+  private void send(Outgoing o) {
+    sender.send(
+        o.to(), new LinkMessage(o.sender(), o.updates(), new LinkBody.Detection(o.probe())));
+  }
+
+  private void publish() {
+    SortedMap<HostId, Member> now = membership.members();
+    if (now.equals(published)) {
+      return;
+    }
+    logChanges(published, now);
+    published = now;
+    listeners.forEach(l -> l.accept(now));
+  }
+
+  private static void logChanges(SortedMap<HostId, Member> before, SortedMap<HostId, Member> now) {
+    now.forEach(
+        (id, m) -> {
+          Member old = before.get(id);
+          MemberStatus was = old == null ? null : old.status();
+          boolean leaves = m.info().leaving() && (old == null || !old.info().leaving());
+          if (was != m.status() || leaves) {
+            LOG.atInfo().log(
+                "%s",
+                Event.named("member_changed")
+                    .with("host", id)
+                    .with("status", m.status().label())
+                    .with("leaving", m.info().leaving())
+                    .with("incarnation", m.incarnation()));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
@@ -0,0 +1,227 @@
+package dev.cactusstack.host.control;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.routing.PickPolicy;
+import dev.cactusstack.decisions.state.Evidence;
+import dev.cactusstack.host.callers.RouteScheduler;
+import dev.cactusstack.host.callers.RoutingView;
+import dev.cactusstack.host.callers.Upstream;
+import dev.cactusstack.host.observe.Event;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.HostId;
+import dev.cactusstack.model.ListedHost;
+import dev.cactusstack.model.Problem;
+import dev.cactusstack.model.ProblemKind;
+import dev.cactusstack.model.Route;
+import dev.cactusstack.model.RouteKey;
+import dev.cactusstack.model.Table;
+import dev.cactusstack.platform.HostChanges;
+import dev.cactusstack.platform.HostList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the upstreams of every route and publishes the routing snapshot.
+ *
+ * <p>Confined to the control loop, except {@link #view} and {@link #schedulers}.
+ */
+public final class UpstreamsController {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final long MIN_LIST_INTERVAL_MS = 1_000;
+
+  /** Reads of the host list by all hosts together, per second. */
+  private static final int LIST_READS_PER_SECOND = 100;
+
+  private final HostList hostList;
+  private final MembershipController members;
+  private final Executor loop;
+  private final Ticker ticker;
+  private final PickPolicy policy;
+  private final int queueLength;
+  private final Map<RouteKey, RouteScheduler> schedulers = new HashMap<>();
+  private final Map<Address, Upstream> upstreams = new HashMap<>();
+  private Map<Address, ListedHost> listed = new TreeMap<>();
+  private Table table = Table.EMPTY;
+  private long revision;
+  private boolean reading;
+  private long nextReadMs;
+  private volatile RoutingView view;
+  private volatile Map<RouteKey, RouteScheduler> publishedSchedulers = Map.of();
+
+  /**
+   * Creates a controller without upstreams.
+   *
+   * @param hostList the platform's host list
+   * @param members the group
+   * @param loop the control loop
+   * @param ticker the clock
+   * @param policy chooses among the upstreams of a route
+   * @param queueLength most requests waiting for a route
+   */
+  public UpstreamsController(
+      HostList hostList,
+      MembershipController members,
+      Executor loop,
+      Ticker ticker,
+      PickPolicy policy,
+      int queueLength) {
+    this.hostList = Objects.requireNonNull(hostList, "hostList is null");
+    this.members = Objects.requireNonNull(members, "members is null");
+    this.loop = Objects.requireNonNull(loop, "loop is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+    this.policy = Objects.requireNonNull(policy, "policy is null");
+    this.queueLength = queueLength;
+    this.view = RoutingPlan.of(members.self(), members.members(), table, Map.of(), Map.of());
+  }
+
+  /**
+   * Returns the routing snapshot in force. Thread-safe.
+   *
+   * @return the snapshot
+   */
+  public RoutingView view() {
+    return view;
+  }
+
+  /**
+   * Returns the schedulers of the routes that this host has owned. Thread-safe.
+   *
+   * @return a snapshot by route
+   */
+  public Map<RouteKey, RouteScheduler> schedulers() {
+    return publishedSchedulers;
+  }
+
+  void tick() {
+    long now = ticker.millis();
+    if (!reading && now >= nextReadMs) {
+      read(now);
+    }
+    // A pause after failures ends with time, not with an event.
+    schedulers.values().forEach(RouteScheduler::drain);
+  }
+
+  private void read(long now) {
+    reading = true;
+    long fairShare = 1_000L * members.members().size() / LIST_READS_PER_SECOND;
+    nextReadMs = now + Math.max(MIN_LIST_INTERVAL_MS, fairShare);
+    hostList
+        .hostsAfter(revision)
+        .whenComplete((changes, t) -> loop.execute(() -> finishRead(changes)));
+  }
+
+  private void finishRead(@Nullable HostChanges changes) {
+    reading = false;
+    if (changes == null || changes.revision() == revision && !listed.isEmpty()) {
+      return;
+    }
+    revision = changes.revision();
+    Map<Address, ListedHost> before = listed;
+    listed = changes.applyTo(before);
+    members.list(
+        listed.values().stream()
+            .filter(h -> h.role() == ListedHost.Role.ENTRY)
+            .map(ListedHost::address)
+            .toList());
+    noteLeaving(before);
+    rebuild();
+  }
+
+  private void noteLeaving(Map<Address, ListedHost> before) {
+    upstreams.forEach(
+        (address, u) -> {
+          ListedHost old = before.get(address);
+          ListedHost now = listed.get(address);
+          boolean wasLeaving = old != null && old.leaving();
+          if (now != null && now.leaving() && !wasLeaving) {
+            u.observe(new Evidence.SaysLeaving(), ticker.millis());
+            LOG.atInfo().log("%s", Event.named("upstream_leaving").with("address", address));
+          } else if (now != null && !now.leaving() && wasLeaving) {
+            u.observe(new Evidence.ListedLive(), ticker.millis());
+          }
+        });
+  }
+
+  void changeTable(Table next) {
+    table = next;
+    rebuild();
+  }
+
+  void changeMembers(SortedMap<HostId, Member> now) {
+    rebuild();
+  }
+
+  private void rebuild() {
+    Map<RouteKey, List<Upstream>> byRoute = upstreamsByRoute();
+    for (Route r : table.routes().values()) {
+      schedulers
+          .computeIfAbsent(r.key(), k -> new RouteScheduler(k, policy, ticker))
+          .configure(
+              byRoute.getOrDefault(r.key(), List.of()), r.limit(), r.upstreamLimit(), queueLength);
+    }
+    RoutingView before = view;
+    RoutingView after =
+        RoutingPlan.of(members.self(), members.members(), table, byRoute, schedulers);
+    view = after;
+    publishedSchedulers = Map.copyOf(schedulers);
+    handOver(before, after);
+  }
+
+  /** Sends waiting requests away from routes that another host owns now. */
+  private void handOver(RoutingView before, RoutingView after) {
+    before
+        .owners()
+        .forEach(
+            (key, owner) -> {
+              boolean was = RoutingPlan.isLocal(owner);
+              boolean is = RoutingPlan.isLocal(after.owners().get(key));
+              RouteScheduler s = schedulers.get(key);
+              if (was && !is && s != null) {
+                s.refuseAll(movedAway(key));
+              }
+            });
+  }
+
+  private static Problem movedAway(RouteKey key) {
+    return new Problem(
+        ProblemKind.MISDIRECTED,
+        "another host owns " + key + " now",
+        "the sender repeats the request");
+  }
+
+  private Map<RouteKey, List<Upstream>> upstreamsByRoute() {
+    upstreams.keySet().retainAll(listed.keySet());
+    var byRoute = new TreeMap<RouteKey, List<Upstream>>();
+    for (ListedHost h : listed.values()) {
+      h.service()
+          .filter(s -> h.role() == ListedHost.Role.UPSTREAM)
+          .ifPresent(
+              s ->
+                  byRoute
+                      .computeIfAbsent(
+                          new RouteKey(s, h.dataCentre()), k -> new java.util.ArrayList<>())
+                      .add(upstream(h)));
+    }
+    return byRoute;
+  }
+
+  private Upstream upstream(ListedHost h) {
+    return upstreams.computeIfAbsent(
+        h.address(),
+        a -> {
+          var u = new Upstream(a);
+          if (h.leaving()) {
+            u.observe(new Evidence.SaysLeaving(), ticker.millis());
+          }
+          return u;
+        });
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/observe/package-info.java
@@ -0,0 +1,5 @@
+/** What the host tells of itself: structured log events and metrics. */
+@NullMarked
+package dev.cactusstack.host.observe;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
@@ -0,0 +1,144 @@
+package dev.cactusstack.host.operators;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.membership.MemberStatus;
+import dev.cactusstack.host.callers.RouteOwner;
+import dev.cactusstack.host.callers.RouteScheduler;
+import dev.cactusstack.host.callers.RoutingView;
+import dev.cactusstack.host.callers.Upstream;
+import dev.cactusstack.host.control.ConfigurationController;
+import dev.cactusstack.host.control.MembershipController;
+import dev.cactusstack.host.control.UpstreamsController;
+import dev.cactusstack.host.observe.Ticker;
+import dev.cactusstack.http.Json;
+import dev.cactusstack.model.HostId;
+import dev.cactusstack.model.Route;
+import dev.cactusstack.model.RouteKey;
+import dev.cactusstack.model.Table;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Renders what operators ask to see. Thread-safe. */
+public final class OperatorsView {
+  private final HostId self;
+  private final ConfigurationController configuration;
+  private final MembershipController members;
+  private final UpstreamsController upstreams;
+  private final Ticker ticker;
+
+  /**
+   * Creates a view.
+   *
+   * @param self this host
+   * @param configuration the configuration in force
+   * @param members the group
+   * @param upstreams the routes and their upstreams
+   * @param ticker the clock
+   */
+  public OperatorsView(
+      HostId self,
+      ConfigurationController configuration,
+      MembershipController members,
+      UpstreamsController upstreams,
+      Ticker ticker) {
+    this.self = Objects.requireNonNull(self, "self is null");
+    this.configuration = Objects.requireNonNull(configuration, "configuration is null");
+    this.members = Objects.requireNonNull(members, "members is null");
+    this.upstreams = Objects.requireNonNull(upstreams, "upstreams is null");
+    this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+  }
+
+  ObjectNode table() {
+    Table t = configuration.inForce();
+    ObjectNode n = Json.object().put("version", t.version());
+    ArrayNode rows = n.putArray("rows");
+    t.routes().values().forEach(r -> rows.add(JsonReplies.row(r)));
+    ArrayNode dataCentres = n.putArray("data_centres");
+    t.dataCentres()
+        .values()
+        .forEach(
+            d ->
+                dataCentres
+                    .addObject()
+                    .put("data_centre", d.dataCentre().value())
+                    .put("out", d.out())
+                    .put("version", d.version()));
+    return n;
+  }
+
+  ObjectNode inForce() {
+    Collection<Member> live = live();
+    long newest =
+        live.stream()
+            .mapToLong(m -> m.info().configVersion())
+            .reduce(configuration.inForce().version(), Math::max);
+    long have = live.stream().filter(m -> m.info().configVersion() >= newest).count();
+    ObjectNode n =
+        Json.object()
+            .put("version", newest)
+            .put("in_force", have)
+            .put("hosts_total", live.size())
+            .put("table_service_reachable", configuration.isStoreReachable());
+    ArrayNode hosts = n.putArray("hosts");
+    live.forEach(m -> hosts.add(host(m)));
+    return n;
+  }
+
+  private Collection<Member> live() {
+    return members.members().values().stream()
+        .filter(m -> m.status() != MemberStatus.DEAD)
+        .toList();
+  }
+
+  private static ObjectNode host(Member m) {
+    return Json.object()
+        .put("id", m.id().value())
+        .put("data_centre", m.info().dataCentre().value())
+        .put("status", m.info().leaving() ? "leaving" : m.status().label())
+        .put("version", m.info().configVersion())
+        .put("callers", m.info().callers().toString())
+        .put("operators", m.info().operators().toString());
+  }
+
+  ObjectNode status() {
+    ObjectNode n = inForce().put("host", self.value());
+    n.set("data_centres", table().path("data_centres"));
+    n.set("upstreams", ownedUpstreams());
+    return n;
+  }
+
+  private ArrayNode ownedUpstreams() {
+    ArrayNode list = Json.object().putArray("upstreams");
+    RoutingView view = upstreams.view();
+    view.owners()
+        .forEach(
+            (key, owner) -> {
+              if (owner instanceof RouteOwner.Local l) {
+                addUpstreams(list, view, key, l.scheduler());
+              }
+            });
+    return list;
+  }
+
+  private void addUpstreams(
+      ArrayNode list, RoutingView view, RouteKey key, RouteScheduler scheduler) {
+    Optional<Route> route = view.table().route(key);
+    int operatorLimit = route.map(Route::upstreamLimit).orElse(0);
+    List<Upstream> all = scheduler.upstreams();
+    for (Upstream u : all) {
+      list.addObject()
+          .put("address", u.address().toString())
+          .put("service", key.service().value())
+          .put("data_centre", key.dataCentre().value())
+          .put("state", u.health().state().label())
+          .put("in_flight", u.inFlight())
+          .put("limit", u.health().limit(operatorLimit, ticker.millis()))
+          .put("latency_ms", Math.round(u.health().latencyMs() * 100) / 100.0)
+          .put("owner", self.value());
+    }
+  }
+}
--- /dev/null
+++ b/link/src/main/java/dev/cactusstack/link/LinkTransport.java
@@ -0,0 +1,130 @@
+package dev.cactusstack.link;
+
+import dev.cactusstack.model.Address;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiConsumer;
+import java.util.function.IntPredicate;
+
+/**
+ * Sends and receives signed datagrams over UDP.
+ *
+ * <p>Delivery is not assured: a datagram can be lost, repeated or reordered. Thread-safe.
+ */
+public final class LinkTransport implements AutoCloseable {
+  /** Datagram, IPv4 and UDP headers, in bytes. */
+  private static final int HEADER_BYTES = 28;
+
+  private final LinkCodec codec;
+  private final MultiThreadIoEventLoopGroup group;
+  private final Channel channel;
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder rejected = new LongAdder();
+
+  private LinkTransport(
+      LinkCodec codec, Address bind, int port, BiConsumer<Address, LinkMessage> receiver) {
+    this.codec = codec;
+    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.channel =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver(receiver))
+            .bind(new InetSocketAddress(bind.ip(), port))
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /**
+   * Binds a socket and starts to receive.
+   *
+   * @param codec translates datagrams
+   * @param bind the address to bind
+   * @param receiver called on the transport's thread for each acceptable message
+   * @return the running transport
+   */
+  public static LinkTransport open(
+      LinkCodec codec, Address bind, BiConsumer<Address, LinkMessage> receiver) {
+    Objects.requireNonNull(codec, "codec is null");
+    Objects.requireNonNull(bind, "bind is null");
+    Objects.requireNonNull(receiver, "receiver is null");
+    return new LinkTransport(codec, bind, bind.port(), receiver);
+  }
+
+  /**
+   * Sends a message without waiting, if its size is allowed.
+   *
+   * @param to the receiver
+   * @param m the message
+   * @param allowed decides on the size in bytes, with network headers
+   */
+  public void send(Address to, LinkMessage m, IntPredicate allowed) {
+    byte[] bytes = codec.encode(m);
+    if (!allowed.test(bytes.length + HEADER_BYTES)) {
+      return;
+    }
+    sentBytes.add(bytes.length + HEADER_BYTES);
+    channel.writeAndFlush(
+        new DatagramPacket(
+            Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
+  }
+
+  /**
+   * Returns the bytes sent since the start, with network headers.
+   *
+   * @return the count
+   */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /**
+   * Returns the number of datagrams that were not acceptable.
+   *
+   * @return the count
+   */
+  public long rejected() {
+    return rejected.sum();
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+    group.shutdownGracefully();
+  }
+
+  /** Decodes datagrams and passes on the acceptable ones. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final BiConsumer<Address, LinkMessage> receiver;
+
+    Receiver(BiConsumer<Address, LinkMessage> receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      InetSocketAddress from = packet.sender();
+      Address sender = new Address(from.getAddress().getHostAddress(), from.getPort());
+      codec
+          .decode(ByteBufUtil.getBytes(packet.content()))
+          .ifPresentOrElse(m -> receiver.accept(sender, m), rejected::increment);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // An unreachable peer's ICMP answer surfaces here; failure detection handles the silence.
+      rejected.increment();
+    }
+  }
+}
--- /dev/null
+++ b/link/src/main/java/dev/cactusstack/link/MemberCodec.java
@@ -0,0 +1,102 @@
+package dev.cactusstack.link;
+
+import dev.cactusstack.decisions.membership.Member;
+import dev.cactusstack.decisions.membership.MemberInfo;
+import dev.cactusstack.decisions.membership.MemberStatus;
+import dev.cactusstack.decisions.membership.ServiceRate;
+import dev.cactusstack.link.generated.MemberState;
+import dev.cactusstack.link.generated.Rate;
+import dev.cactusstack.link.generated.Status;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.DataCentre;
+import dev.cactusstack.model.HostId;
+import dev.cactusstack.model.Result;
+import dev.cactusstack.model.ServiceName;
+import java.util.List;
+import java.util.Optional;
+
+/** Translates claims about members. Stateless and thread-safe. */
+final class MemberCodec {
+  private MemberCodec() {}
+
+  static MemberState encode(Member m) {
+    MemberInfo i = m.info();
+    MemberState.Builder b =
+        MemberState.newBuilder()
+            .setId(m.id().value())
+            .setIncarnation(m.incarnation())
+            .setStatus(status(m.status()))
+            .setSequence(i.sequence())
+            .setDataCentre(i.dataCentre().value())
+            .setLink(i.link().toString())
+            .setCallers(i.callers().toString())
+            .setOperators(i.operators().toString())
+            .setConfigVersion(i.configVersion())
+            .setLeaving(i.leaving());
+    i.rates()
+        .forEach(
+            r ->
+                b.addRates(
+                    Rate.newBuilder().setService(r.service().value()).setPerSecond(r.perSecond())));
+    return b.build();
+  }
+
+  private static Status status(MemberStatus s) {
+    return switch (s) {
+      case ALIVE -> Status.ALIVE;
+      case SUSPECT -> Status.SUSPECT;
+      case DEAD -> Status.DEAD;
+    };
+  }
+
+  static Optional<Member> decode(MemberState s) {
+    Optional<HostId> id = value(HostId.parse(s.getId()));
+    Optional<DataCentre> dataCentre = value(DataCentre.parse(s.getDataCentre()));
+    Optional<Address> link = value(Address.parse(s.getLink()));
+    Optional<Address> callers = value(Address.parse(s.getCallers()));
+    Optional<Address> operators = value(Address.parse(s.getOperators()));
+    Optional<MemberStatus> status = status(s.getStatus());
+    if (id.isEmpty()
+        || dataCentre.isEmpty()
+        || link.isEmpty()
+        || callers.isEmpty()
+        || operators.isEmpty()
+        || status.isEmpty()) {
+      return Optional.empty();
+    }
+    var info =
+        new MemberInfo(
+            s.getSequence(),
+            dataCentre.get(),
+            link.get(),
+            callers.get(),
+            operators.get(),
+            s.getConfigVersion(),
+            s.getLeaving(),
+            rates(s.getRatesList()));
+    return Optional.of(new Member(id.get(), s.getIncarnation(), status.get(), info));
+  }
+
+  private static Optional<MemberStatus> status(Status s) {
+    return switch (s) {
+      case ALIVE -> Optional.of(MemberStatus.ALIVE);
+      case SUSPECT -> Optional.of(MemberStatus.SUSPECT);
+      case DEAD -> Optional.of(MemberStatus.DEAD);
+      case UNRECOGNIZED -> Optional.empty();
+    };
+  }
+
+  private static List<ServiceRate> rates(List<Rate> rates) {
+    return rates.stream()
+        .filter(r -> Float.isFinite(r.getPerSecond()) && r.getPerSecond() >= 0)
+        .flatMap(
+            r ->
+                value(ServiceName.parse(r.getService())).stream()
+                    .map(s -> new ServiceRate(s, r.getPerSecond())))
+        .toList();
+  }
+
+  private static <T> Optional<T> value(Result<T> r) {
+    return r.fold(p -> Optional.empty(), Optional::of);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/dev/cactusstack/model/Problem.java
@@ -0,0 +1,38 @@
+package dev.cactusstack.model;
+
+import java.util.Objects;
+
+/**
+ * A failure described for a person: what went wrong and what to do about it.
+ *
+ * <p>Invariant: neither text is blank. Immutable and thread-safe.
+ *
+ * @param kind the machine-readable kind
+ * @param message what went wrong
+ * @param remedy what the reader can do
+ */
+public record Problem(ProblemKind kind, String message, String remedy) {
+
+  /** Checks the components. */
+  public Problem {
+    Objects.requireNonNull(kind, "kind is null");
+    Objects.requireNonNull(message, "message is null");
+    Objects.requireNonNull(remedy, "remedy is null");
+  }
+
+  /**
+   * Creates an invalid-input problem.
+   *
+   * @param message what is invalid
+   * @param remedy what would be valid
+   * @return the problem
+   */
+  public static Problem invalid(String message, String remedy) {
+    return new Problem(ProblemKind.INVALID_INPUT, message, remedy);
+  }
+
+  @Override
+  public String toString() {
+    return kind.label() + ": " + message + "; remedy: " + remedy;
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/dev/cactusstack/settings/OperatorsSettings.java
@@ -0,0 +1,77 @@
+package dev.cactusstack.settings;
+
+import dev.cactusstack.model.Address;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The port for operators.
+ *
+ * <p>Invariant: an address that is not loopback has a token and TLS. Immutable and thread-safe.
+ *
+ * @param address where operators connect
+ * @param token what operators present, if they must
+ * @param tls the server's key, if the port uses TLS
+ */
+public record OperatorsSettings(Address address, Optional<String> token, Optional<TlsKey> tls) {
+  /** The environment variable that sets the token in place of the file. */
+  public static final String TOKEN_VARIABLE = "CACTUSSTACK_OPERATORS_TOKEN";
+
+  private static final int MIN_TOKEN_LENGTH = 16;
+
+  /**
+   * A private key and its certificate in a PKCS #12 file.
+   *
+   * @param keystore the file's path
+   * @param password the file's password
+   */
+  public record TlsKey(String keystore, String password) {
+    @Override
+    public String toString() {
+      return "TlsKey(" + keystore + ")";
+    }
+  }
+
+  /** Checks the components. */
+  public OperatorsSettings {
+    Objects.requireNonNull(address, "address is null");
+    Objects.requireNonNull(token, "token is null");
+    Objects.requireNonNull(tls, "tls is null");
+  }
+
+  static OperatorsSettings read(Section s, Map<String, String> environment) {
+    Address address = s.address("address", "127.0.0.1:8081");
+    Optional<String> inFile = s.optionalString("token");
+    Optional<String> token = Optional.ofNullable(environment.get(TOKEN_VARIABLE)).or(() -> inFile);
+    Optional<TlsKey> tls = s.optionalSection("tls").map(t -> tls(t, environment));
+    if (token.isPresent() && token.get().length() < MIN_TOKEN_LENGTH) {
+      s.secretFault("token", "use at least " + MIN_TOKEN_LENGTH + " characters");
+    }
+    if (!address.isLoopback() && token.isEmpty()) {
+      s.fault(
+          "token", "set it, or the variable " + TOKEN_VARIABLE + "; only loopback works without");
+    }
+    if (!address.isLoopback() && tls.isEmpty()) {
+      s.fault("tls", "name a keystore; only loopback works without TLS");
+    }
+    s.finish();
+    return new OperatorsSettings(address, token, tls);
+  }
+
+  private static TlsKey tls(Section s, Map<String, String> environment) {
+    String keystore = s.string("keystore", "operators.p12");
+    String variable = s.string("password_variable", "CACTUSSTACK_TLS_PASSWORD");
+    String password = environment.get(variable);
+    if (password == null) {
+      s.fault("password_variable", "set the environment variable " + variable);
+    }
+    s.finish();
+    return new TlsKey(keystore, password == null ? "" : password);
+  }
+
+  @Override
+  public String toString() {
+    return "OperatorsSettings(" + address + ")";
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/cactusstack/standin/BodyCounter.java
@@ -0,0 +1,54 @@
+package dev.cactusstack.standin;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.LongConsumer;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSourceChannel;
+
+/** Reads and counts a request's body without keeping it. Confined to the exchange's I/O thread. */
+final class BodyCounter {
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  private final HttpServerExchange exchange;
+  private final LongConsumer whole;
+  private final Runnable cut;
+  private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+  private long count;
+
+  private BodyCounter(HttpServerExchange exchange, LongConsumer whole, Runnable cut) {
+    this.exchange = exchange;
+    this.whole = whole;
+    this.cut = cut;
+  }
+
+  static void count(HttpServerExchange x, LongConsumer whole, Runnable cut) {
+    StreamSourceChannel source = x.isRequestComplete() ? null : x.getRequestChannel();
+    if (source == null) {
+      whole.accept(0);
+      return;
+    }
+    var counter = new BodyCounter(x, whole, cut);
+    source.getReadSetter().set(counter::read);
+    counter.read(source);
+  }
+
+  private void read(StreamSourceChannel source) {
+    try {
+      for (int n = source.read(buffer); n != -1; n = source.read(buffer)) {
+        if (n == 0) {
+          source.resumeReads();
+          return;
+        }
+        count += n;
+        buffer.clear();
+      }
+      source.suspendReads();
+      whole.accept(count);
+    } catch (IOException e) {
+      IoUtils.safeClose(exchange.getConnection());
+      cut.run();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/cactusstack/standin/Deployment.java
@@ -0,0 +1,145 @@
+package dev.cactusstack.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** The two users' deployments at today's sizes. Immutable and thread-safe. */
+public enum Deployment {
+  /** Qazyna Opis Labs: three data centres in Almaty. */
+  QAZYNA(
+      "almaty",
+      14,
+      4,
+      List.of(
+          new Service("search", 10, 8),
+          new Service("booking", 10, 6),
+          new Service("scans", 6, 12))),
+  /** Limpieza Integral Bajío: three data centres in the Bajío. */
+  LIMPIEZA(
+      "bajio",
+      16,
+      2,
+      List.of(
+          new Service("rosters", 20, 8),
+          new Service("sign-offs", 12, 6),
+          new Service("checklists", 6, 10)));
+
+  private static final int DATA_CENTRES = 3;
+  private static final double SPREAD = 0.3;
+  private static final int COLD_BEARS = 1;
+  private static final int WARM_UP_RUNS = 20;
+
+  private final String prefix;
+  private final int entryHosts;
+  private final int slots;
+  private final List<Service> services;
+
+  /**
+   * A service of a deployment.
+   *
+   * @param name its name
+   * @param servers how many upstreams it has
+   * @param serviceMs median time of a run, in milliseconds
+   */
+  public record Service(String name, int servers, double serviceMs) {}
+
+  Deployment(String prefix, int entryHosts, int slots, List<Service> services) {
+    this.prefix = prefix;
+    this.entryHosts = entryHosts;
+    this.slots = slots;
+    this.services = services;
+  }
+
+  /**
+   * Finds a deployment by name.
+   *
+   * @param name {@code qazyna} or {@code limpieza}
+   * @return the deployment, if there is one
+   */
+  public static Optional<Deployment> ofName(String name) {
+    for (Deployment d : values()) {
+      if (d.label().equals(name)) {
+        return Optional.of(d);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the deployment's name.
+   *
+   * @return the name
+   */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /**
+   * Lists the data centres.
+   *
+   * @return their names
+   */
+  public List<String> dataCentres() {
+    var names = new ArrayList<String>();
+    for (int i = 1; i <= DATA_CENTRES; i++) {
+      names.add(prefix + "-" + i);
+    }
+    return names;
+  }
+
+  /**
+   * Returns the number of entry hosts of an experiment.
+   *
+   * @return the count
+   */
+  public int entryHosts() {
+    return entryHosts;
+  }
+
+  /**
+   * Returns the slots of each upstream.
+   *
+   * @return the count
+   */
+  public int slots() {
+    return slots;
+  }
+
+  /**
+   * Lists the services.
+   *
+   * @return the services
+   */
+  public List<Service> services() {
+    return services;
+  }
+
+  /**
+   * Lists the upstreams, spread evenly over the data centres.
+   *
+   * @param scale factor on the number of upstreams of each service
+   * @return what each upstream is
+   */
+  public List<UpstreamTraits> upstreams(int scale) {
+    var list = new ArrayList<UpstreamTraits>();
+    List<String> dataCentres = dataCentres();
+    for (int s = 0; s < services.size(); s++) {
+      Service service = services.get(s);
+      for (int i = 0; i < service.servers() * scale; i++) {
+        String dataCentre = dataCentres.get((i + s) % DATA_CENTRES);
+        list.add(
+            new UpstreamTraits(
+                service.name(),
+                dataCentre,
+                slots,
+                service.serviceMs(),
+                SPREAD,
+                COLD_BEARS,
+                WARM_UP_RUNS));
+      }
+    }
+    return list;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/cactusstack/standin/GeneratedBody.java
@@ -0,0 +1,56 @@
+package dev.cactusstack.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/** Writes an answer of a given size as fast as the reader takes it. Confined to one I/O thread. */
+final class GeneratedBody {
+  private static final int BLOCK_BYTES = 16 * 1024;
+
+  private final HttpServerExchange exchange;
+  private final long cutAt;
+  private long left;
+  private ByteBuffer block = ByteBuffer.allocate(0);
+
+  private GeneratedBody(HttpServerExchange exchange, long bytes, boolean cut) {
+    this.exchange = exchange;
+    this.left = bytes;
+    this.cutAt = cut ? bytes / 2 : -1;
+  }
+
+  static void send(HttpServerExchange x, long bytes, boolean cut) {
+    x.getResponseHeaders().put(Headers.CONTENT_LENGTH, bytes);
+    var body = new GeneratedBody(x, bytes, cut);
+    StreamSinkChannel sink = x.getResponseChannel();
+    sink.getWriteSetter().set(body::write);
+    body.write(sink);
+  }
+
+  private void write(StreamSinkChannel sink) {
+    try {
+      while (left > 0 || block.hasRemaining()) {
+        if (!block.hasRemaining()) {
+          int n = (int) Math.min(BLOCK_BYTES, left);
+          block = ByteBuffer.allocate(n);
+          left -= n;
+        }
+        if (sink.write(block) == 0) {
+          sink.resumeWrites();
+          return;
+        }
+        if (left <= cutAt) {
+          IoUtils.safeClose(exchange.getConnection());
+          return;
+        }
+      }
+      sink.suspendWrites();
+      exchange.endExchange();
+    } catch (IOException e) {
+      IoUtils.safeClose(exchange.getConnection());
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
@@ -0,0 +1,219 @@
+package dev.cactusstack.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusstack.http.Json;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+
+/**
+ * The platform's table service, object store and host list in memory, over HTTP, with faults that
+ * can be caused.
+ *
+ * <p>Interface: {@code GET /v1/rows?after=N}, {@code POST /v1/transactions}, {@code GET
+ * /v1/hosts?after=N}, {@code PUT|DELETE /v1/hosts/ADDRESS}, {@code GET|PUT /v1/objects/NAME} and
+ * {@code PUT /v1/faults}. Thread-safe.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+  private static final int IO_THREADS = 1;
+  private static final int WORKER_THREADS = 8;
+  private static final String HOSTS_PATH = "/v1/hosts/";
+  private static final String OBJECTS_PATH = "/v1/objects/";
+
+  private final TableState table = new TableState();
+  private final HostRegister hosts = new HostRegister();
+  private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private volatile PlatformFaults faults = PlatformFaults.NONE;
+  private final Undertow server;
+
+  private PlatformStandIn(int port) {
+    server =
+        Undertow.builder()
+            .addHttpListener(port, "127.0.0.1")
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(WORKER_THREADS)
+            .setHandler(this::dispatch)
+            .build();
+  }
+
+  /**
+   * Starts a stand-in on loopback.
+   *
+   * @param port the port, 0 for any
+   * @return the running stand-in
+   */
+  public static PlatformStandIn start(int port) {
+    var standIn = new PlatformStandIn(port);
+    standIn.server.start();
+    return standIn;
+  }
+
+  /**
+   * Returns the port it serves on.
+   *
+   * @return the port number
+   */
+  public int port() {
+    return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+  }
+
+  /**
+   * Replaces the faults it causes.
+   *
+   * @param next the faults from now on
+   */
+  public synchronized void cause(PlatformFaults next) {
+    faults = Objects.requireNonNull(next, "next is null");
+  }
+
+  /**
+   * Writes rows without any check.
+   *
+   * @param writes a transaction's {@code writes}, each with {@code key} and {@code value}
+   */
+  public void seed(ArrayNode writes) {
+    ObjectNode t = Json.object();
+    t.set("writes", writes);
+    table.commit(t);
+  }
+
+  /**
+   * Lists a host, or replaces its entry.
+   *
+   * @param address the host's address
+   * @param entry its fields
+   */
+  public void list(String address, JsonNode entry) {
+    hosts.put(address, (ObjectNode) entry);
+  }
+
+  /**
+   * Removes a host from the list.
+   *
+   * @param address the host's address
+   */
+  public void unlist(String address) {
+    hosts.remove(address);
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+
+  private void dispatch(HttpServerExchange x) {
+    HttpHandler blocking = this::handle;
+    x.dispatch(blocking);
+  }
+
+  private void handle(HttpServerExchange x) throws Exception {
+    PlatformFaults f = faults;
+    if (x.getRequestPath().equals("/v1/faults")) {
+      changeFaults(x);
+      return;
+    }
+    if (f.down()) {
+      IoUtils.safeClose(x.getConnection());
+      return;
+    }
+    if (f.slowMs() > 0) {
+      TimeUnit.MILLISECONDS.sleep(f.slowMs());
+    }
+    String path = x.getRequestPath();
+    if (path.equals("/v1/rows")) {
+      reply(x, 200, table.changesAfter(after(x)));
+    } else if (path.equals("/v1/transactions")) {
+      transact(x);
+    } else if (path.equals("/v1/hosts")) {
+      reply(x, 200, hosts.changesAfter(after(x)));
+    } else if (path.startsWith(HOSTS_PATH)) {
+      changeHost(x, path.substring(HOSTS_PATH.length()));
+    } else if (path.startsWith(OBJECTS_PATH)) {
+      object(x, path.substring(OBJECTS_PATH.length()));
+    } else {
+      reply(x, 404, Json.object().put("error", "no such resource"));
+    }
+  }
+
+  private static long after(HttpServerExchange x) {
+    Deque<String> values = x.getQueryParameters().get("after");
+    return values == null ? 0 : Long.parseLong(values.getFirst());
+  }
+
+  private static JsonNode body(HttpServerExchange x) throws Exception {
+    x.startBlocking();
+    return Json.parse(x.getInputStream().readAllBytes()).orElse(Json.object());
+  }
+
+  private void transact(HttpServerExchange x) throws Exception {
+    OptionalLong revision = table.commit(body(x));
+    if (takeLostAnswer()) {
+      IoUtils.safeClose(x.getConnection());
+    } else if (revision.isPresent()) {
+      reply(x, 200, Json.object().put("revision", revision.getAsLong()));
+    } else {
+      reply(x, 409, Json.object().put("error", "a row has another version"));
+    }
+  }
+
+  private synchronized boolean takeLostAnswer() {
+    PlatformFaults f = faults;
+    if (f.loseAnswers() == 0) {
+      return false;
+    }
+    faults = new PlatformFaults(f.down(), f.slowMs(), f.loseAnswers() - 1);
+    return true;
+  }
+
+  private void changeHost(HttpServerExchange x, String address) throws Exception {
+    if (x.getRequestMethod().equalToString("DELETE")) {
+      unlist(address);
+    } else {
+      list(address, body(x));
+    }
+    reply(x, 200, Json.object());
+  }
+
+  private void object(HttpServerExchange x, String name) throws Exception {
+    if (x.getRequestMethod().equalToString("PUT")) {
+      x.startBlocking();
+      objects.put(name, x.getInputStream().readAllBytes());
+      reply(x, 200, Json.object());
+      return;
+    }
+    byte[] content = objects.get(name);
+    if (content == null) {
+      reply(x, 404, Json.object().put("error", "no such object"));
+      return;
+    }
+    x.getResponseSender().send(ByteBuffer.wrap(content));
+  }
+
+  private void changeFaults(HttpServerExchange x) throws Exception {
+    JsonNode n = body(x);
+    cause(
+        new PlatformFaults(
+            n.path("down").asBoolean(),
+            n.path("slow_ms").asLong(),
+            n.path("lose_answers").asInt()));
+    reply(x, 200, Json.object());
+  }
+
+  private static void reply(HttpServerExchange x, int status, JsonNode content) {
+    x.setStatusCode(status);
+    x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    x.getResponseSender().send(ByteBuffer.wrap(Json.bytes(content)));
+  }
+}
