Choose by expected answer, ask other owners before queueing, hedge late requests

A dump of the schedulers during the run showed queues in data centres with a slowed server while others had free places (each owner queued alone), capacity estimates that counted slow places, and upstreams that stayed unused up to two seconds after they had recovered. Ruled out: hedging as the cause (share 0 and 0.05 gave the same p99 then), processor shortage. Change: an owner without a free quick place refuses at once and the host asks the next one, then queues where the wait is shortest (round trips from membership probes count); slow upstreams are used only when waiting takes longer, their estimate fades while quiet, and a much quicker answer restores them; idempotent requests without a body get a second attempt at 2.5 times the usual time, within 5 %. The stand-in now slows the rest of a run in progress, as a noisy neighbour does; before, a slow-down only touched runs that began under it, which also spared the all-knowing picker.

--- a/bench/src/main/java/dev/cactusstack/bench/AllKnowingPolicy.java
+++ b/bench/src/main/java/dev/cactusstack/bench/AllKnowingPolicy.java
@@ -9,9 +9,9 @@
 import java.util.function.Consumer;
 
 /**
- * The bound to compare with: one picker for all callers, with one queue for each service, that reads
- * the stand-ins' true state. It takes the fastest upstream with a free slot, and uses a slowed one
- * only while requests wait. Thread-safe.
+ * The bound to compare with: one picker for all callers, with one queue for each service, that
+ * reads the stand-ins' true state. It takes the fastest upstream with a free slot, and uses a
+ * slowed one only while requests wait. Thread-safe.
  */
 final class AllKnowingPolicy implements Policy {
   private final LoadClient client;
@@ -62,7 +62,9 @@
     drain(g);
   }
 
-  /** The fastest with a free slot; a slowed one only when the wait for a fast one would be longer. */
+  /**
+   * The fastest with a free slot; a slowed one only when the wait for a fast one would be longer.
+   */
   private static @org.jspecify.annotations.Nullable UpstreamStandIn best(Group g) {
     UpstreamStandIn best = null;
     double lowest = Double.POSITIVE_INFINITY;
--- a/bench/src/main/java/dev/cactusstack/bench/AlonePolicy.java
+++ b/bench/src/main/java/dev/cactusstack/bench/AlonePolicy.java
@@ -27,8 +27,10 @@
 
     synchronized int pick(PickPolicy picks) {
       List<UpstreamView> views =
-          inFlight.stream().map(n -> new UpstreamView(n.get(), Integer.MAX_VALUE, 1, 0, 0)).toList();
-      int at = picks.pick(views, turn.getAndIncrement()).orElseThrow();
+          inFlight.stream()
+              .map(n -> new UpstreamView(n.get(), Integer.MAX_VALUE, 1, 0, 0, 0))
+              .toList();
+      int at = picks.pick(views, turn.getAndIncrement(), 1).orElseThrow();
       inFlight.get(at).incrementAndGet();
       return at;
     }
@@ -52,7 +54,8 @@
 
   @Override
   public void send(Arrival a, Consumer<CallResult> done) {
-    Group g = java.util.Objects.requireNonNull(hosts.get(a.caller() % hosts.size()).get(a.service()));
+    Group g =
+        java.util.Objects.requireNonNull(hosts.get(a.caller() % hosts.size()).get(a.service()));
     int at = g.pick(picks);
     client.send(
         LoadClient.Call.get(g.upstreams.get(at).address(), a.service(), "/"),
--- a/bench/src/main/java/dev/cactusstack/bench/BenchMain.java
+++ b/bench/src/main/java/dev/cactusstack/bench/BenchMain.java
@@ -48,7 +48,8 @@
     if (!o.has("verbose")) {
       Logger.getLogger("").setLevel(Level.SEVERE);
     }
-    String name = o.nonOptionArguments().isEmpty() ? "list" : (String) o.nonOptionArguments().get(0);
+    String name =
+        o.nonOptionArguments().isEmpty() ? "list" : (String) o.nonOptionArguments().get(0);
     if (o.has("help")) {
       parser.printHelpOn(System.out);
       return;
--- a/bench/src/main/java/dev/cactusstack/bench/EntryPolicy.java
+++ b/bench/src/main/java/dev/cactusstack/bench/EntryPolicy.java
@@ -41,8 +41,7 @@
 
   /** Sends a request of a given form, as caller {@code caller}. */
   void send(int caller, String service, LoadClient.Call form, Consumer<CallResult> done) {
-    withEntries(
-        caller % seeds.size(), service, 0, entries -> tryAt(entries, 0, form, done));
+    withEntries(caller % seeds.size(), service, 0, entries -> tryAt(entries, 0, form, done));
   }
 
   private void tryAt(
@@ -52,7 +51,8 @@
       return;
     }
     var call =
-        new LoadClient.Call(entries.get(at), form.method(), form.path(), form.headers(), form.body());
+        new LoadClient.Call(
+            entries.get(at), form.method(), form.path(), form.headers(), form.body());
     client.send(
         call,
         r -> {
--- a/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
+++ b/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
@@ -51,7 +51,8 @@
   private final long timeoutMs;
 
   /** A request to send. Immutable. */
-  record Call(String address, String method, String path, Map<String, String> headers, byte[] body) {
+  record Call(
+      String address, String method, String path, Map<String, String> headers, byte[] body) {
     static Call get(String address, String host, String path) {
       return new Call(address, "GET", path, Map.of("Host", host), new byte[0]);
     }
@@ -184,8 +185,7 @@
         }
         sink.shutdownWrites();
         if (!sink.flush()) {
-          sink.getWriteSetter()
-              .set(org.xnio.ChannelListeners.flushingChannelListener(null, null));
+          sink.getWriteSetter().set(org.xnio.ChannelListeners.flushingChannelListener(null, null));
           sink.resumeWrites();
         }
       } catch (IOException e) {
@@ -234,7 +234,8 @@
       x.getResponse()
           .getResponseHeaders()
           .forEach(
-              h -> headers.put(h.getHeaderName().toString().toLowerCase(Locale.ROOT), h.getFirst()));
+              h ->
+                  headers.put(h.getHeaderName().toString().toLowerCase(Locale.ROOT), h.getFirst()));
       if (connection != null && connection.isOpen() && !"close".equals(headers.get("connection"))) {
         pool().addLast(connection);
       } else {
--- a/bench/src/main/java/dev/cactusstack/bench/Phase.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Phase.java
@@ -72,7 +72,13 @@
   private static String kindOf(CallResult r) {
     return r.status() == 0
         ? "no-answer"
-        : Json.parse(r.body()).map(n -> n.path("kind").asText() + ":" + n.path("title").asText().replaceAll("[0-9.:]+", "#")).orElse("status-" + r.status());
+        : Json.parse(r.body())
+            .map(
+                n ->
+                    n.path("kind").asText()
+                        + ":"
+                        + n.path("title").asText().replaceAll("[0-9.:]+", "#"))
+            .orElse("status-" + r.status());
   }
 
   double latencyMs(double percentile) {
--- a/bench/src/main/java/dev/cactusstack/bench/ResultLine.java
+++ b/bench/src/main/java/dev/cactusstack/bench/ResultLine.java
@@ -3,7 +3,9 @@
 import java.util.Locale;
 import java.util.Objects;
 
-/** The last line of an experiment: {@code result scenario=... seed=... key=value ...}. Immutable. */
+/**
+ * The last line of an experiment: {@code result scenario=... seed=... key=value ...}. Immutable.
+ */
 final class ResultLine {
   private final String line;
 
@@ -13,7 +15,12 @@
 
   static ResultLine of(String scenario, BenchOptions o) {
     return new ResultLine(
-        "result scenario=" + scenario + " seed=" + o.seed() + " deployment=" + o.deployment().label());
+        "result scenario="
+            + scenario
+            + " seed="
+            + o.seed()
+            + " deployment="
+            + o.deployment().label());
   }
 
   ResultLine with(String key, long value) {
--- a/bench/src/main/java/dev/cactusstack/bench/TailScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/TailScenario.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tail latency of the current policy against round-robin, least-loaded and an all-knowing picker, on
- * the same arrivals with the same slow-downs.
+ * Tail latency of the current policy against round-robin, least-loaded and an all-knowing picker,
+ * on the same arrivals with the same slow-downs.
  */
 final class TailScenario implements Scenario {
   private static final double BUSY_SHARE = 0.7;
@@ -28,13 +28,20 @@
       List<UpstreamStandIn> ups = site.upstreams();
       int hostCount = o.deployment().entryHosts() * o.scale();
       Phase roundRobin =
-          play(o, "round-robin", site, new AlonePolicy(client, PickPolicy.ROUND_ROBIN, ups, hostCount));
+          play(
+              o,
+              "round-robin",
+              site,
+              new AlonePolicy(client, PickPolicy.ROUND_ROBIN, ups, hostCount));
       Phase leastLoaded =
-          play(o, "least-loaded", site, new AlonePolicy(client, PickPolicy.LEAST_LOADED, ups, hostCount));
+          play(
+              o,
+              "least-loaded",
+              site,
+              new AlonePolicy(client, PickPolicy.LEAST_LOADED, ups, hostCount));
       Phase allKnowing = play(o, "all-knowing", site, new AllKnowingPolicy(client, ups));
       try (var hosts =
-          EmbeddedHosts.start(
-              site, hostCount, 0, 0, PickPolicy.EXPECTED_ANSWER, Map.of(), "")) {
+          EmbeddedHosts.start(site, hostCount, 0, 0, PickPolicy.EXPECTED_ANSWER, Map.of(), "")) {
         if (!hosts.awaitReady(READY_MS)) {
           throw new IllegalStateException("the entry hosts are not ready");
         }
@@ -43,7 +50,8 @@
                 client, hosts.hosts().stream().map(h -> h.callersAddress().toString()).toList());
         Phase light = new Phase();
         light.play(
-            Arrivals.plan(o.deployment(), o.scale(), LIGHT_SHARE, WARM_UP_SECONDS + LIGHT_SECONDS, o.seed()),
+            Arrivals.plan(
+                o.deployment(), o.scale(), LIGHT_SHARE, WARM_UP_SECONDS + LIGHT_SECONDS, o.seed()),
             TimeUnit.SECONDS.toNanos(WARM_UP_SECONDS),
             policy,
             (a, r) -> {});
--- a/decisions/src/main/java/dev/cactusstack/decisions/membership/Membership.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/membership/Membership.java
@@ -24,12 +24,14 @@
 public final class Membership {
   private static final int INDIRECT_PROBES = 3;
   private static final int REJOINS_PER_PERIOD = 4;
+  private static final double ROUND_TRIP_SMOOTHING = 0.2;
 
   private final ProbeTimings timings;
   private final Random random;
   private final HostId self;
   private final SortedMap<HostId, Member> members = new TreeMap<>();
   private final Map<HostId, Long> since = new HashMap<>();
+  private final Map<HostId, Double> roundTrips = new HashMap<>();
   private final Map<Address, Long> listed = new TreeMap<>();
   private final Map<Long, Relay> relays = new HashMap<>();
   private final UpdateQueue queue = new UpdateQueue();
@@ -159,6 +161,7 @@
       } else if (m.status() == MemberStatus.DEAD && age >= timings.forgetMs()) {
         members.remove(m.id());
         since.remove(m.id());
+        roundTrips.remove(m.id());
         queue.remove(m.id());
       }
     }
@@ -224,7 +227,7 @@
       relays.put(++nextNumber, new Relay(from, r.number(), nowMs));
       return List.of(send(r.target(), new Probe.Ping(nextNumber)));
     }
-    return acknowledged(((Probe.Ack) probe).number());
+    return acknowledged(((Probe.Ack) probe).number(), sender.id(), nowMs);
   }
 
   /** Lets a member that still sends, as after a pause, learn that it has to refute. */
@@ -235,14 +238,33 @@
     }
   }
 
-  private List<Outgoing> acknowledged(long number) {
-    if (pending != null && pending.number == number) {
+  private List<Outgoing> acknowledged(long number, HostId from, long nowMs) {
+    Pending p = pending;
+    if (p != null && p.number == number) {
       pending = null;
+      if (!p.asked) {
+        noteRoundTrip(from, nowMs - p.sentMs);
+      }
     }
     Relay r = relays.remove(number);
     return r == null ? List.of() : List.of(send(r.asker, new Probe.Ack(r.askerNumber)));
   }
 
+  private void noteRoundTrip(HostId id, long ms) {
+    Double before = roundTrips.get(id);
+    roundTrips.put(id, before == null ? ms : before + ROUND_TRIP_SMOOTHING * (ms - before));
+  }
+
+  /**
+   * Returns the smoothed round trip to a member.
+   *
+   * @param id the member
+   * @return milliseconds, 0 before the first answer
+   */
+  public double roundTripMs(HostId id) {
+    return roundTrips.getOrDefault(id, 0.0);
+  }
+
   private void learn(Member claim, long nowMs) {
     if (claim.id().equals(self)) {
       refute(claim);
--- a/decisions/src/main/java/dev/cactusstack/decisions/state/UpstreamHealth.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/state/UpstreamHealth.java
@@ -35,6 +35,15 @@
   private static final int WARM_ALLOWANCE = 8;
   private static final int FAILURES_TO_UNREACHABLE = 3;
   private static final double SMOOTHING = 0.2;
+
+  /** An answer time that differs by this factor counts more, to follow sudden changes. */
+  private static final double SUDDEN_RATIO = 2;
+
+  private static final double SLOWER_SMOOTHING = 0.5;
+
+  /** A slow upstream hardly ever answers this much quicker by chance. */
+  private static final double QUICKER_SMOOTHING = 0.9;
+
   private static final long FIRST_PAUSE_MS = 250;
   private static final int MAX_PAUSE_DOUBLINGS = 6;
 
@@ -95,12 +104,18 @@
   }
 
   private UpstreamHealth smoothed(double ms, double failure) {
+    double weight = SMOOTHING;
+    if (ms > SUDDEN_RATIO * latencyMs) {
+      weight = SLOWER_SMOOTHING;
+    } else if (latencyMs > SUDDEN_RATIO * ms) {
+      weight = QUICKER_SMOOTHING;
+    }
     return new UpstreamHealth(
         state,
         allowance,
         successes,
         failures,
-        latencyMs + SMOOTHING * (ms - latencyMs),
+        latencyMs + weight * (ms - latencyMs),
         failureShare + SMOOTHING * (failure - failureShare),
         retryAtMs);
   }
--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -24,6 +24,7 @@
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
+import org.xnio.channels.Channels;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -46,22 +47,27 @@
   private final ClientRequest request;
   private final int answerTimeoutMs;
   private final Listener listener;
+  private final ByteBufferPool buffers;
   private AttemptState state = AttemptState.NOT_SENT;
   private @Nullable ClientConnection connection;
   private XnioExecutor.@Nullable Key timer;
   private boolean bodySent;
   private boolean ended;
+  private boolean detached;
   private long sentNanos;
 
   /** Follows an attempt. Called on the exchange's I/O thread. */
   interface Listener {
     /**
-     * The head of an answer has arrived. Returns false to refuse it, which ends the attempt.
+     * The head of an answer has arrived; its body is passed on, unless the attempt is detached.
      *
      * @param response the head
      * @param waitedNanos from sending the request to now
      */
-    boolean answered(ClientResponse response, long waitedNanos);
+    void answered(ClientResponse response, long waitedNanos);
+
+    /** An answer has arrived that says that the request did not run; {@code failed} follows. */
+    default void refused(ClientResponse response) {}
 
     /** The whole answer has arrived. */
     void completed();
@@ -86,6 +92,7 @@
     this.request = request;
     this.answerTimeoutMs = answerTimeoutMs;
     this.listener = listener;
+    this.buffers = exchange.getConnection().getByteBufferPool();
   }
 
   void start(Freshness freshness) {
@@ -106,6 +113,14 @@
         });
   }
 
+  /**
+   * Gives up the answer but not the attempt: when the answer arrives it is read and dropped, so
+   * that the listener learns when the upstream has ended its work.
+   */
+  void detach() {
+    detached = true;
+  }
+
   /** Ends the attempt because its answer is no longer wanted. */
   void cancel() {
     ended = true;
@@ -155,7 +170,7 @@
         this::finishBody,
         (ch, e) -> callerFailed(e),
         (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
-        buffers());
+        buffers);
   }
 
   private void finishBody(StreamSinkChannel sink) {
@@ -208,6 +223,7 @@
     ClientResponse response = x.getResponse();
     if (CactusHeaders.OUTCOME_NOT_RUN.equals(
         response.getResponseHeaders().getFirst(CactusHeaders.OUTCOME))) {
+      listener.refused(response);
       fail(AttemptEvent.REFUSED, new IOException(refusal(response)));
       return;
     }
@@ -217,8 +233,9 @@
       return;
     }
     state = state.after(AttemptEvent.ANSWER_STARTED);
-    if (!listener.answered(response, ticker.nanos() - sentNanos)) {
-      cancel();
+    listener.answered(response, ticker.nanos() - sentNanos);
+    if (detached) {
+      drop(x.getResponseChannel());
       return;
     }
     Transfer.initiateTransfer(
@@ -228,7 +245,27 @@
         this::finishAnswer,
         (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
         (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
-        buffers());
+        buffers);
+  }
+
+  private void drop(StreamSourceChannel source) {
+    try {
+      for (long n = Channels.drain(source, Long.MAX_VALUE);
+          n != -1;
+          n = Channels.drain(source, Long.MAX_VALUE)) {
+        if (n == 0) {
+          source.getReadSetter().set(this::drop);
+          source.resumeReads();
+          return;
+        }
+      }
+      source.suspendReads();
+      ended = true;
+      thread.execute(this::releaseConnection);
+      listener.completed();
+    } catch (IOException e) {
+      fail(AttemptEvent.CONNECTION_LOST, e);
+    }
   }
 
   private static String refusal(ClientResponse r) {
@@ -306,8 +343,4 @@
       timer.remove();
     }
   }
-
-  private ByteBufferPool buffers() {
-    return exchange.getConnection().getByteBufferPool();
-  }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/CactusHeaders.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/CactusHeaders.java
@@ -14,6 +14,10 @@
   static final HttpString FORWARDED = new HttpString("Cactusstack-Forwarded");
   static final HttpString LOAD = new HttpString("Cactusstack-Load");
   static final HttpString ROUTE_LOAD = new HttpString("Cactusstack-Route-Load");
+
+  /** On a request that was passed on: answer at once rather than let it wait. */
+  static final HttpString MAY_REFUSE = new HttpString("Cactusstack-May-Refuse");
+
   static final HttpString DATA_CENTRE = new HttpString("Cactusstack-Data-Centre");
   static final HttpString FORWARDED_FOR = new HttpString("X-Forwarded-For");
   static final String OUTCOME_NOT_RUN = Outcome.NOT_RUN.label();
--- a/host/src/main/java/dev/cactusstack/host/callers/CallersServer.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/CallersServer.java
@@ -20,6 +20,7 @@
   private static final int BUFFERS_POOLED = 256;
   private static final int BUFFERS_PER_THREAD = 8;
   private static final int RETRY_RESERVE = 50;
+  private static final int HEDGE_RESERVE = 20;
 
   /** Room above the settings' limit, so that a typed answer can be given instead of a cut. */
   private static final int HEADER_ROOM = 4;
@@ -62,6 +63,7 @@
             token,
             metrics,
             new RetryBudget(requests.retryShare(), RETRY_RESERVE),
+            new RetryBudget(requests.hedgeShare(), HEDGE_RESERVE),
             arrivals,
             new RemoteLoads(ticker),
             requests,
--- a/host/src/main/java/dev/cactusstack/host/callers/DataPath.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/DataPath.java
@@ -19,6 +19,7 @@
  * @param token marks requests that are passed on
  * @param metrics histograms and counters
  * @param retries allows retries
+ * @param hedges allows second attempts beside a slow one
  * @param arrivals counts requests of callers
  * @param remoteLoads what other owners said of their load
  * @param settings how requests are treated
@@ -31,6 +32,7 @@
     ForwardToken token,
     Metrics metrics,
     RetryBudget retries,
+    RetryBudget hedges,
     ArrivalCounter arrivals,
     RemoteLoads remoteLoads,
     RequestSettings settings,
--- a/host/src/main/java/dev/cactusstack/host/callers/Hop.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Hop.java
@@ -9,8 +9,9 @@
  *
  * @param host the owner
  * @param callers its address for callers
+ * @param roundTripMs the smoothed round trip to it, in milliseconds
  */
-public record Hop(HostId host, Address callers) {
+public record Hop(HostId host, Address callers, double roundTripMs) {
 
   /** Checks the components. */
   public Hop {
--- a/host/src/main/java/dev/cactusstack/host/callers/Lease.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Lease.java
@@ -33,8 +33,7 @@
 
   void release() {
     if (released.compareAndSet(false, true)) {
-      upstream.released(this);
-      scheduler.released();
+      scheduler.released(this);
     }
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/Problems.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Problems.java
@@ -5,14 +5,21 @@
 import dev.cactusstack.model.Problem;
 import dev.cactusstack.model.ProblemKind;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 
 /** Writes answers that the system makes itself, in the form of RFC 9457. Stateless. */
 final class Problems {
   private Problems() {}
 
   static void send(HttpServerExchange x, Problem p, Outcome outcome) {
+    send(x, p, outcome, h -> {});
+  }
+
+  static void send(
+      HttpServerExchange x, Problem p, Outcome outcome, Consumer<HeaderMap> moreHeaders) {
     if (x.isResponseStarted()) {
       return;
     }
@@ -20,6 +27,7 @@
     x.getResponseHeaders().clear();
     x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
     x.getResponseHeaders().put(CactusHeaders.OUTCOME, outcome.label());
+    moreHeaders.accept(x.getResponseHeaders());
     if (p.kind() == ProblemKind.OVERLOADED) {
       x.getResponseHeaders().put(Headers.RETRY_AFTER, 1);
     }
--- a/host/src/main/java/dev/cactusstack/host/callers/RemoteLoads.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RemoteLoads.java
@@ -2,62 +2,70 @@
 
 import dev.cactusstack.host.observe.Ticker;
 import dev.cactusstack.model.RouteKey;
+import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
-/** What owners of routes said of their load on their last answers. Reports expire. Thread-safe. */
+/**
+ * How long owners of routes said that a request would wait, on their last answers. Reports expire.
+ * Thread-safe.
+ */
 final class RemoteLoads {
+  private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  private static final double ROOM_SHARE = 0.8;
 
   private final Ticker ticker;
   private final Map<RouteKey, Report> reports = new ConcurrentHashMap<>();
 
-  private record Report(int inFlight, int waiting, int capacity, long atNanos) {}
+  /** An owner's words: whether it had no place free, and the wait it expected. */
+  private record Report(boolean busy, double waitMs, long atNanos) {}
 
   RemoteLoads(Ticker ticker) {
     this.ticker = ticker;
   }
 
-  /** Renders the load of a route for an answer: {@code IN_FLIGHT/WAITING/CAPACITY}. */
+  /** Renders the load of a route for an answer: {@code busy|free EXPECTED_WAIT_MS}. */
   static String render(RouteScheduler s) {
-    return s.inFlight() + "/" + s.waiting() + "/" + s.capacity();
+    double wait = Math.min(s.expectedWaitMs(), Integer.MAX_VALUE);
+    boolean busy = wait > 0;
+    return String.format(Locale.ROOT, "%s %.1f", busy ? "busy" : "free", wait);
   }
 
   void record(RouteKey key, @Nullable String header) {
     if (header == null) {
       return;
     }
-    String[] p = header.split("/");
+    String[] p = header.split(" ");
     try {
-      reports.put(
-          key,
-          new Report(
-              Integer.parseInt(p[0]),
-              Integer.parseInt(p[1]),
-              Integer.parseInt(p[2]),
-              ticker.nanos()));
+      reports.put(key, new Report(p[0].equals("busy"), Double.parseDouble(p[1]), ticker.nanos()));
     } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
       reports.remove(key);
     }
   }
 
-  /** Whether the owner reported waiting requests a moment ago. */
-  boolean isBusy(RouteKey key) {
-    Report r = fresh(key);
-    return r != null && (r.waiting > 0 || r.inFlight >= r.capacity);
+  /** Records that the owner refused a request for lack of a free place. */
+  void recordRefusal(RouteKey key, @Nullable String header) {
+    record(key, header);
+    Report r = reports.get(key);
+    if (r != null) {
+      reports.put(key, new Report(true, r.waitMs, ticker.nanos()));
+    }
   }
 
-  /** Whether the owner is not known to be short of room. */
-  boolean hasRoom(RouteKey key) {
-    Report r = fresh(key);
-    return r == null || r.waiting == 0 && r.inFlight < ROOM_SHARE * r.capacity;
+  /** Whether the owner had no free place a moment ago, so that asking it again is not worth it. */
+  boolean isBusy(RouteKey key) {
+    Report r = reports.get(key);
+    return r != null && r.busy && ticker.nanos() - r.atNanos < BUSY_NANOS;
   }
 
-  private @Nullable Report fresh(RouteKey key) {
+  /** The wait that the owner expected, unless the report has expired. */
+  OptionalDouble expectedWaitMs(RouteKey key) {
     Report r = reports.get(key);
-    return r != null && ticker.nanos() - r.atNanos < FRESH_NANOS ? r : null;
+    return r != null && ticker.nanos() - r.atNanos < FRESH_NANOS
+        ? OptionalDouble.of(r.waitMs)
+        : OptionalDouble.empty();
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestFacts.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestFacts.java
@@ -11,6 +11,7 @@
  * @param idempotent whether it may run twice with the effect of once
  * @param bodiless whether it has no body
  * @param forwardedTo the data centre chosen by the host that passed it on, if one did
+ * @param mayRefuse whether the host that passed it on wants an answer rather than a wait
  * @param arrivedNanos when it arrived
  */
 record RequestFacts(
@@ -18,4 +19,11 @@
     boolean idempotent,
     boolean bodiless,
     Optional<DataCentre> forwardedTo,
-    long arrivedNanos) {}
+    boolean mayRefuse,
+    long arrivedNanos) {
+
+  /** Whether it may be sent to two upstreams at once. */
+  boolean isHedgeable() {
+    return idempotent && bodiless;
+  }
+}
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestHeads.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestHeads.java
@@ -23,11 +23,18 @@
   }
 
   static ClientRequest toOwner(
-      HttpServerExchange x, RequestFacts facts, DataCentre dataCentre, String token) {
+      HttpServerExchange x,
+      RequestFacts facts,
+      DataCentre dataCentre,
+      String token,
+      boolean mayRefuse) {
     ClientRequest r = head(x, facts);
     addCaller(x, r.getRequestHeaders());
     r.getRequestHeaders().put(CactusHeaders.FORWARDED, token);
     r.getRequestHeaders().put(CactusHeaders.DATA_CENTRE, dataCentre.value());
+    if (mayRefuse) {
+      r.getRequestHeaders().put(CactusHeaders.MAY_REFUSE, "1");
+    }
     return r;
   }
 
--- a/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.host.callers;
 
+import dev.cactusstack.decisions.routing.GroupOutlook;
 import dev.cactusstack.decisions.routing.PickPolicy;
 import dev.cactusstack.decisions.routing.UpstreamView;
 import dev.cactusstack.host.observe.Ticker;
@@ -14,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -124,6 +126,34 @@
     drain();
   }
 
+  /**
+   * Grants a lease at a quick upstream at once, or none. Does not overtake waiting requests.
+   *
+   * @param avoided addresses that must not be used
+   */
+  @Nullable Lease tryNow(Set<Address> avoided) {
+    return waiting.get() > 0 ? null : tryAhead(avoided);
+  }
+
+  /** As {@link #tryNow}, for a request that has waited longer than those in the queue. */
+  @Nullable Lease tryAhead(Set<Address> avoided) {
+    List<Upstream> candidates = avoided.isEmpty() ? upstreams : without(upstreams, avoided);
+    return withinRouteLimit(l -> leaseAmong(candidates, l, 0));
+  }
+
+  /** What the upstreams can be expected to do now. */
+  GroupOutlook outlook() {
+    return GroupOutlook.of(views(upstreams, limits, ticker.nanos()));
+  }
+
+  /** How long one more request would wait, in milliseconds. */
+  double expectedWaitMs() {
+    GroupOutlook o = outlook();
+    boolean routeFull = inFlight.get() >= limits.inFlight();
+    int ahead = waiting() + 1;
+    return routeFull ? o.waitMs(o.quickFree() + ahead) : o.waitMs(ahead);
+  }
+
   /**
    * Refuses every waiting request, as when another host has become the owner.
    *
@@ -174,12 +204,16 @@
   }
 
   private @Nullable Lease tryLease(Set<Address> avoided) {
+    return withinRouteLimit(l -> leaseAtUpstream(l, avoided));
+  }
+
+  private @Nullable Lease withinRouteLimit(Function<RouteLimits, @Nullable Lease> find) {
     RouteLimits l = limits;
     int before = inFlight.getAndUpdate(n -> n < l.inFlight() ? n + 1 : n);
     if (before >= l.inFlight()) {
       return null;
     }
-    Lease lease = leaseAtUpstream(l, avoided);
+    Lease lease = find.apply(l);
     if (lease == null) {
       inFlight.decrementAndGet();
     }
@@ -188,28 +222,26 @@
 
   private @Nullable Lease leaseAtUpstream(RouteLimits l, Set<Address> avoided) {
     List<Upstream> candidates = upstreams;
+    int waits = Math.max(1, waiting.get());
     if (!avoided.isEmpty()) {
-      Lease elsewhere = leaseAmong(without(candidates, avoided), l);
+      Lease elsewhere = leaseAmong(without(candidates, avoided), l, waits);
       if (elsewhere != null) {
         return elsewhere;
       }
     }
-    return leaseAmong(candidates, l);
+    return leaseAmong(candidates, l, waits);
   }
 
   private static List<Upstream> without(List<Upstream> all, Set<Address> avoided) {
     return all.stream().filter(u -> !avoided.contains(u.address())).toList();
   }
 
-  private @Nullable Lease leaseAmong(List<Upstream> candidates, RouteLimits l) {
+  private @Nullable Lease leaseAmong(List<Upstream> candidates, RouteLimits l, int waits) {
     // Another thread may take the chosen place first; each retry sees the newer counts.
     for (int i = 0; i <= candidates.size(); i++) {
       long now = ticker.nanos();
-      var views = new ArrayList<UpstreamView>(candidates.size());
-      for (Upstream u : candidates) {
-        views.add(u.view(l.perUpstream(), now));
-      }
-      OptionalInt choice = policy.pick(views, turn.getAndIncrement());
+      List<UpstreamView> views = views(candidates, l, now);
+      OptionalInt choice = policy.pick(views, turn.getAndIncrement(), waits);
       if (choice.isEmpty()) {
         return null;
       }
@@ -222,7 +254,16 @@
     return null;
   }
 
-  void released() {
+  private static List<UpstreamView> views(List<Upstream> upstreams, RouteLimits l, long now) {
+    var views = new ArrayList<UpstreamView>(upstreams.size());
+    for (Upstream u : upstreams) {
+      views.add(u.view(l.perUpstream(), now));
+    }
+    return views;
+  }
+
+  void released(Lease lease) {
+    lease.upstream().released(lease, ticker.nanos());
     inFlight.decrementAndGet();
     drain();
   }
--- a/host/src/main/java/dev/cactusstack/host/callers/ServiceFilter.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/ServiceFilter.java
@@ -72,10 +72,12 @@
     String token = x.getRequestHeaders().getFirst(CactusHeaders.FORWARDED);
     if (token == null || !path.token().verify(token)) {
       path.arrivals().count(s);
-      return Result.success(new RequestFacts(s, idempotent, bodiless, Optional.empty(), arrived));
+      return Result.success(
+          new RequestFacts(s, idempotent, bodiless, Optional.empty(), false, arrived));
     }
+    boolean mayRefuse = x.getRequestHeaders().contains(CactusHeaders.MAY_REFUSE);
     return ownedDataCentre(x, s)
-        .map(d -> new RequestFacts(s, idempotent, bodiless, Optional.of(d), arrived));
+        .map(d -> new RequestFacts(s, idempotent, bodiless, Optional.of(d), mayRefuse, arrived));
   }
 
   /** A request that was passed on is accepted only by the owner of its route. */
--- a/host/src/main/java/dev/cactusstack/host/callers/Upstream.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Upstream.java
@@ -20,6 +20,7 @@
   private final Address address;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final ConcurrentLinkedDeque<Lease> leases = new ConcurrentLinkedDeque<>();
+  private volatile long lastEndNanos;
   private final AtomicReference<UpstreamHealth> health =
       new AtomicReference<>(UpstreamHealth.INITIAL);
 
@@ -77,6 +78,7 @@
         h.limit(operatorLimit, nowMs),
         h.latencyMs(),
         oldestMs(nowNanos),
+        inFlight.get() > 0 ? 0 : Math.max(0, (nowNanos - lastEndNanos) / 1e6),
         h.failureShare());
   }
 
@@ -102,7 +104,8 @@
     return lease;
   }
 
-  void released(Lease lease) {
+  void released(Lease lease, long nowNanos) {
+    lastEndNanos = nowNanos;
     inFlight.decrementAndGet();
     // The common case is that the oldest ends first; others are removed when they become the
     // oldest.
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
@@ -0,0 +1,193 @@
+package dev.cactusstack.host.callers;
+
+import dev.cactusstack.decisions.retries.AttemptEvent;
+import dev.cactusstack.decisions.retries.AttemptState;
+import dev.cactusstack.decisions.state.Evidence;
+import dev.cactusstack.host.callers.ConnectionPools.Freshness;
+import dev.cactusstack.model.Address;
+import io.undertow.client.ClientResponse;
+import io.undertow.server.HttpServerExchange;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.xnio.XnioExecutor;
+
+/**
+ * A request at an upstream, and, when that one is late and the request may run twice, at a second
+ * one. The first answer counts; the other upstream is left to end its work, so that its place is
+ * known to be taken until then.
+ *
+ * <p>Invariant: each lease is released once its upstream has ended the work or the connection to it
+ * is closed. Confined to the exchange's I/O thread.
+ */
+final class UpstreamRace {
+  private static final int SERVER_ERROR = 500;
+
+  /** A request is late after this many times the usual answer time. */
+  private static final double LATE_RATIO = 2.5;
+
+  private static final double MIN_LATE_MS = 2;
+
+  private final HttpServerExchange exchange;
+  private final RequestFacts facts;
+  private final DataPath path;
+  private final RouteScheduler scheduler;
+  private final End end;
+  private final Set<Runner> running = new HashSet<>();
+  private XnioExecutor.@Nullable Key timer;
+  private @Nullable Runner winner;
+  private boolean possiblyRun;
+
+  /** Takes the end of a race. Called on the exchange's I/O thread. */
+  interface End {
+    /** The head of the answer that counts has arrived; its body follows to the caller. */
+    void answered(ClientResponse response, long waitedNanos);
+
+    /** No attempt is left. */
+    void failed(Address upstream, AttemptState state, AttemptEvent cause, String reason);
+  }
+
+  UpstreamRace(
+      HttpServerExchange exchange,
+      RequestFacts facts,
+      DataPath path,
+      RouteScheduler scheduler,
+      End end) {
+    this.exchange = exchange;
+    this.facts = facts;
+    this.path = path;
+    this.scheduler = scheduler;
+    this.end = end;
+  }
+
+  void start(Lease lease) {
+    if (facts.isHedgeable()) {
+      armTimer(LATE_RATIO * scheduler.outlook().usualMs());
+    }
+    begin(lease);
+  }
+
+  private void begin(Lease lease) {
+    path.metrics().of(facts.service()).attempted();
+    var runner = new Runner(lease);
+    running.add(runner);
+    runner.attempt.start(facts.idempotent() ? Freshness.ANY : Freshness.PROVED);
+  }
+
+  private void armTimer(double ms) {
+    long micros = Math.round(Math.max(MIN_LATE_MS, ms) * 1_000);
+    timer = exchange.getIoThread().executeAfter(this::late, micros, TimeUnit.MICROSECONDS);
+  }
+
+  private void late() {
+    if (winner != null || running.size() != 1) {
+      return;
+    }
+    Address current = running.iterator().next().lease.upstream().address();
+    Lease second = scheduler.tryAhead(Set.of(current));
+    if (second == null) {
+      armTimer(scheduler.outlook().usualMs() / 8);
+    } else if (path.hedges().withdraw()) {
+      begin(second);
+    } else {
+      second.release();
+    }
+  }
+
+  /** Gives up: the caller has its answer, or has gone. */
+  void callerGone() {
+    stopTimer();
+    for (Runner r : Set.copyOf(running)) {
+      if (winner == null || r == winner) {
+        r.attempt.cancel();
+        r.ended();
+      }
+    }
+  }
+
+  private void stopTimer() {
+    if (timer != null) {
+      timer.remove();
+    }
+  }
+
+  /** One upstream of the race. */
+  private final class Runner implements Attempt.Listener {
+    private final Lease lease;
+    private final Attempt attempt;
+
+    Runner(Lease lease) {
+      this.lease = lease;
+      Address to = lease.upstream().address();
+      this.attempt =
+          new Attempt(
+              exchange,
+              path.pools(),
+              path.ticker(),
+              to,
+              RequestHeads.toUpstream(exchange, facts, to),
+              path.settings().answerTimeoutMs(),
+              this);
+    }
+
+    @Override
+    public void answered(ClientResponse response, long waitedNanos) {
+      observeAnswer(response, waitedNanos / 1e6);
+      if (winner != null) {
+        return;
+      }
+      winner = this;
+      stopTimer();
+      running.stream().filter(r -> r != this).forEach(r -> r.attempt.detach());
+      end.answered(response, waitedNanos);
+    }
+
+    private void observeAnswer(ClientResponse response, double ms) {
+      LoadReport report =
+          LoadReport.parse(response.getResponseHeaders().getFirst(CactusHeaders.LOAD));
+      switch (report.state()) {
+        case LEAVING -> observe(new Evidence.SaysLeaving());
+        case COLD -> observe(new Evidence.SaysCold());
+        default -> {}
+      }
+      boolean warm = report.state() == LoadReport.Reported.WARM;
+      observe(
+          response.getResponseCode() >= SERVER_ERROR
+              ? new Evidence.ServerError(ms)
+              : new Evidence.Success(ms, warm));
+    }
+
+    @Override
+    public void completed() {
+      ended();
+    }
+
+    @Override
+    public void failed(AttemptState state, AttemptEvent cause, String reason) {
+      observe(
+          switch (cause) {
+            case REFUSED -> new Evidence.Refusal();
+            case TIMED_OUT -> new Evidence.Timeout();
+            default -> new Evidence.ConnectionLost();
+          });
+      ended();
+      possiblyRun |= !state.provesNotRun();
+      boolean counts = winner == this || winner == null && running.isEmpty();
+      if (counts) {
+        stopTimer();
+        AttemptState all = possiblyRun && state.provesNotRun() ? AttemptState.POSSIBLY_RUN : state;
+        end.failed(lease.upstream().address(), all, cause, reason);
+      }
+    }
+
+    private void ended() {
+      running.remove(this);
+      lease.release();
+    }
+
+    private void observe(Evidence e) {
+      lease.upstream().observe(e, path.ticker().millis());
+    }
+  }
+}
--- a/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
@@ -64,6 +64,10 @@
     return membership.self();
   }
 
+  double roundTripMs(HostId id) {
+    return membership.roundTripMs(id);
+  }
+
   void onChange(Consumer<SortedMap<HostId, Member>> listener) {
     listeners.add(listener);
   }
--- a/host/src/main/java/dev/cactusstack/host/control/RoutingPlan.java
+++ b/host/src/main/java/dev/cactusstack/host/control/RoutingPlan.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 
 /** Computes routing snapshots from members, configuration and upstreams. Stateless. */
@@ -34,9 +35,11 @@
       SortedMap<HostId, Member> members,
       Table table,
       Map<RouteKey, List<Upstream>> upstreams,
-      Map<RouteKey, RouteScheduler> schedulers) {
+      Map<RouteKey, RouteScheduler> schedulers,
+      ToDoubleFunction<HostId> roundTripMs) {
     List<Member> serving = members.values().stream().filter(Member::serves).toList();
-    Map<RouteKey, RouteOwner> owners = owners(self, serving, table, upstreams, schedulers);
+    Map<RouteKey, RouteOwner> owners =
+        owners(self, serving, table, upstreams, schedulers, roundTripMs);
     return new RoutingView(
         self.info().dataCentre(),
         table,
@@ -54,7 +57,8 @@
       List<Member> serving,
       Table table,
       Map<RouteKey, List<Upstream>> upstreams,
-      Map<RouteKey, RouteScheduler> schedulers) {
+      Map<RouteKey, RouteScheduler> schedulers,
+      ToDoubleFunction<HostId> roundTripMs) {
     var byDataCentre = new HashMap<DataCentre, List<HostId>>();
     var byId = new HashMap<HostId, Member>();
     for (Member m : serving) {
@@ -77,7 +81,7 @@
       }
       Rendezvous.first(key.toString(), candidates)
           .map(byId::get)
-          .ifPresent(m -> owners.put(key, owner(self, m, scheduler)));
+          .ifPresent(m -> owners.put(key, owner(self, m, scheduler, roundTripMs)));
     }
     return owners;
   }
@@ -86,10 +90,12 @@
     return list != null && list.stream().anyMatch(u -> u.health().state() != UpstreamState.LEAVING);
   }
 
-  private static RouteOwner owner(Member self, Member m, RouteScheduler scheduler) {
+  private static RouteOwner owner(
+      Member self, Member m, RouteScheduler scheduler, ToDoubleFunction<HostId> roundTripMs) {
     return m.id().equals(self.id())
         ? new RouteOwner.Local(scheduler)
-        : new RouteOwner.Remote(new Hop(m.id(), m.info().callers()));
+        : new RouteOwner.Remote(
+            new Hop(m.id(), m.info().callers(), roundTripMs.applyAsDouble(m.id())));
   }
 
   private static Map<ServiceName, TrafficSplit> splits(
--- a/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
@@ -79,7 +79,9 @@
     this.ticker = Objects.requireNonNull(ticker, "ticker is null");
     this.policy = Objects.requireNonNull(policy, "policy is null");
     this.queueLength = queueLength;
-    this.view = RoutingPlan.of(members.self(), members.members(), table, Map.of(), Map.of());
+    this.view =
+        RoutingPlan.of(
+            members.self(), members.members(), table, Map.of(), Map.of(), members::roundTripMs);
   }
 
   /**
@@ -169,7 +171,8 @@
     }
     RoutingView before = view;
     RoutingView after =
-        RoutingPlan.of(members.self(), members.members(), table, byRoute, schedulers);
+        RoutingPlan.of(
+            members.self(), members.members(), table, byRoute, schedulers, members::roundTripMs);
     view = after;
     publishedSchedulers = Map.copyOf(schedulers);
     handOver(before, after);
--- a/settings/src/main/java/dev/cactusstack/settings/RequestSettings.java
+++ b/settings/src/main/java/dev/cactusstack/settings/RequestSettings.java
@@ -9,6 +9,7 @@
  * @param connectTimeoutMs how long opening a connection may take
  * @param attempts most attempts for one request
  * @param retryShare retries allowed for each first attempt
+ * @param hedgeShare second attempts beside a slow one allowed for each first attempt
  * @param drainTimeoutMs how long a leaving host waits for requests in flight
  */
 public record RequestSettings(
@@ -18,6 +19,7 @@
     int connectTimeoutMs,
     int attempts,
     double retryShare,
+    double hedgeShare,
     int drainTimeoutMs) {
 
   static RequestSettings read(Section s) {
@@ -29,6 +31,7 @@
             (int) s.integer("connect_timeout_ms", 500, 10, 60_000),
             (int) s.integer("attempts", 3, 1, 10),
             s.fraction("retry_share", 0.1),
+            s.fraction("hedge_share", 0.05),
             (int) s.integer("drain_timeout_ms", 600_000, 0, 86_400_000));
     s.finish();
     return settings;
--- a/standin/src/main/java/dev/cactusstack/standin/Deployment.java
+++ b/standin/src/main/java/dev/cactusstack/standin/Deployment.java
@@ -27,6 +27,7 @@
           new Service("checklists", 6, 50)));
 
   private static final int DATA_CENTRES = 3;
+
   /** Sigma of the log-normal distribution of the time of a run. */
   public static final double SPREAD = 0.3;
 
--- a/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
@@ -12,6 +12,8 @@
 import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -37,6 +39,7 @@
   private final SlotQueue slots;
   private final RunLog runs;
   private final Random random;
+  private final Set<Work> running = ConcurrentHashMap.newKeySet();
   private final AtomicInteger warmUpLeft;
   private final AtomicLong ran = new AtomicLong();
   private final AtomicLong rejectedCold = new AtomicLong();
@@ -113,6 +116,7 @@
    */
   public void become(UpstreamCondition next) {
     condition = Objects.requireNonNull(next, "next is null");
+    running.forEach(w -> w.changeSpeed(next.slowdown()));
   }
 
   /** Makes it cold, without a sign. */
@@ -248,8 +252,13 @@
     if (condition.silent()) {
       return;
     }
-    long micros = Math.round(drawMs() * 1_000);
-    x.getIoThread().executeAfter(() -> answer(x, id, bodyBytes), micros, TimeUnit.MICROSECONDS);
+    var work = new Work(x.getIoThread(), drawMs(), condition.slowdown());
+    running.add(work);
+    work.start(
+        () -> {
+          running.remove(work);
+          answer(x, id, bodyBytes);
+        });
   }
 
   private double drawMs() {
@@ -257,7 +266,7 @@
     synchronized (random) {
       gaussian = random.nextGaussian();
     }
-    return traits.serviceMs() * Math.exp(traits.spread() * gaussian) * condition.slowdown();
+    return traits.serviceMs() * Math.exp(traits.spread() * gaussian);
   }
 
   private void answer(
