Keep upstream connections open: an ended attempt is not cancelled

Every connection was already closed when it came back to its pool (counted: 380,000 of 380,000): the caller's answer ended first, its completion cancelled the attempt, and that closed the connection.

--- a/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
+++ b/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
@@ -237,7 +237,9 @@
               h ->
                   headers.put(h.getHeaderName().toString().toLowerCase(Locale.ROOT), h.getFirst()));
       if (connection != null && connection.isOpen() && !"close".equals(headers.get("connection"))) {
-        pool().addLast(connection);
+        ClientConnection reusable = connection;
+        // The library is still handling this answer; the connection is free only after that.
+        thread.execute(() -> pool().addLast(reusable));
       } else {
         IoUtils.safeClose(connection);
       }
--- a/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
@@ -5,7 +5,8 @@
 
 /** The experiments by name. Immutable and thread-safe. */
 enum Scenarios {
-  TAIL(new TailScenario(), "tail latency against three other policies");
+  TAIL(new TailScenario(), "tail latency against three other policies"),
+  SPEED(new SpeedScenario(), "time and processor time that one entry host adds");
 
   private final Scenario scenario;
   private final String description;
--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.decisions.routing;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 
@@ -41,13 +42,15 @@
 
   /** The lower-third answer time of the upstreams that take requests. */
   private static double usualMs(List<UpstreamView> views) {
-    double[] sorted =
-        views.stream()
-            .filter(v -> v.limit() > 0)
-            .mapToDouble(GroupOutlook::estimateMs)
-            .sorted()
-            .toArray();
-    return sorted.length == 0 ? MIN_LATENCY_MS : sorted[(sorted.length - 1) / 3];
+    double[] times = new double[views.size()];
+    int n = 0;
+    for (UpstreamView v : views) {
+      if (v.limit() > 0) {
+        times[n++] = estimateMs(v);
+      }
+    }
+    Arrays.sort(times, 0, n);
+    return n == 0 ? MIN_LATENCY_MS : times[(n - 1) / 3];
   }
 
   static double estimateMs(UpstreamView v) {
--- a/embedded/src/main/java/dev/cactusstack/embedded/Site.java
+++ b/embedded/src/main/java/dev/cactusstack/embedded/Site.java
@@ -18,6 +18,7 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -30,6 +31,7 @@
 public final class Site implements AutoCloseable {
   private static final int DEFAULT_WEIGHT = 20;
   private static final int UPSTREAM_THREADS = 2;
+  private static final int QUICK_SLOTS = 64;
 
   private final Deployment deployment;
   private final PlatformStandIn platform;
@@ -37,14 +39,20 @@
   private final RunLog runs = new RunLog();
   private final List<UpstreamStandIn> upstreams = new ArrayList<>();
 
-  private Site(Deployment deployment, int scale, long seed) {
+  /** Upstreams that answer at once and have many slots, to measure the entry hosts alone. */
+  public static final UnaryOperator<UpstreamTraits> QUICK =
+      t ->
+          new UpstreamTraits(
+              t.service(), t.dataCentre(), QUICK_SLOTS, 0, 0, t.coldBears(), t.warmUpRuns());
+
+  private Site(Deployment deployment, int scale, UnaryOperator<UpstreamTraits> change, long seed) {
     this.deployment = Objects.requireNonNull(deployment, "deployment is null");
     platform = PlatformStandIn.start(0);
     worker = worker();
     var random = new Random(seed);
     for (UpstreamTraits t : deployment.upstreams(scale)) {
-      upstreams.add(
-          UpstreamStandIn.start(t, 0, worker, runs, new Random(random.nextLong()), false));
+      var times = new Random(random.nextLong());
+      upstreams.add(UpstreamStandIn.start(change.apply(t), 0, worker, runs, times, false));
     }
     platform.seed(rows());
     upstreams.forEach(u -> list(u, false));
@@ -59,7 +67,20 @@
    * @return the running site
    */
   public static Site start(Deployment deployment, int scale, long seed) {
-    return new Site(deployment, scale, seed);
+    return new Site(deployment, scale, UnaryOperator.identity(), seed);
+  }
+
+  /**
+   * Starts a site whose upstreams differ from the deployment's.
+   *
+   * @param deployment which one
+   * @param change changes each upstream's traits
+   * @param seed makes the upstreams' times repeatable
+   * @return the running site
+   */
+  public static Site startWith(
+      Deployment deployment, UnaryOperator<UpstreamTraits> change, long seed) {
+    return new Site(deployment, 1, change, seed);
   }
 
   private static XnioWorker worker() {
@@ -95,7 +116,7 @@
           .putObject("value")
           .put("weight", DEFAULT_WEIGHT)
           .put("limit", e.getValue())
-          .put("upstream_limit", deployment.slots());
+          .put("upstream_limit", upstreams.get(0).traits().slots());
     }
     for (String d : deployment.dataCentres()) {
       writes.addObject().put("key", "data-centre/" + d).putObject("value").put("out", false);
--- a/host/src/main/java/dev/cactusstack/host/EntryHost.java
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -236,7 +236,7 @@
    */
   public boolean awaitReady(long timeoutMs) throws InterruptedException {
     long end = ticker.millis() + timeoutMs;
-    while (controllers.upstreams().view().owners().isEmpty()) {
+    while (!controllers.upstreams().view().canServe()) {
       if (ticker.millis() >= end) {
         return false;
       }
--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -121,8 +121,11 @@
     detached = true;
   }
 
-  /** Ends the attempt because its answer is no longer wanted. */
+  /** Ends the attempt, unless it has ended, because its answer is no longer wanted. */
   void cancel() {
+    if (ended) {
+      return;
+    }
     ended = true;
     stopTimer();
     IoUtils.safeClose(connection);
--- a/host/src/main/java/dev/cactusstack/host/callers/Destinations.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Destinations.java
@@ -1,17 +1,12 @@
 package dev.cactusstack.host.callers;
 
-import dev.cactusstack.decisions.routing.TrafficSplit;
+import dev.cactusstack.host.callers.ServiceView.Target;
 import dev.cactusstack.model.DataCentre;
-import dev.cactusstack.model.Route;
-import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.model.ServiceName;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The data centres that one request may go to, in order of preference: the one that the service's
@@ -27,12 +22,12 @@
   private final ServiceName service;
   private final RemoteLoads loads;
   private final Random random;
-  private final Set<DataCentre> failed = new HashSet<>();
-  private final Set<DataCentre> asked = new HashSet<>();
-  private Optional<DataCentre> first = Optional.empty();
+  private final List<DataCentre> failed = new ArrayList<>(2);
+  private final List<DataCentre> asked = new ArrayList<>(2);
+  private @Nullable DataCentre first;
 
   /** Where to send a request, and whether it may be refused there. */
-  record Choice(RouteKey key, RouteOwner owner, boolean mayRefuse) {}
+  record Choice(Target target, boolean mayRefuse) {}
 
   Destinations(ServiceName service, RemoteLoads loads, Random random) {
     this.service = service;
@@ -51,94 +46,93 @@
   }
 
   /** Chooses a data centre; {@code mayAsk} tells whether a refusal would cost nothing. */
-  Optional<Choice> next(RoutingView view, boolean mayAsk) {
-    List<Route> usable =
-        view.table().routesOf(service).stream().filter(r -> isUsable(view, r)).toList();
-    if (usable.isEmpty()) {
-      return Optional.empty();
+  @Nullable Choice next(RoutingView view, boolean mayAsk) {
+    ServiceView s = view.service(service);
+    if (s == null) {
+      return null;
     }
-    if (mayAsk) {
-      Optional<RouteKey> free = nextToAsk(view, usable);
-      if (free.isPresent()) {
-        return free.flatMap(k -> choice(view, k, true));
-      }
+    Target free = mayAsk ? nextToAsk(s) : null;
+    if (free != null) {
+      return new Choice(free, true);
     }
-    return shortestWait(view, usable).flatMap(k -> choice(view, k, false));
-  }
-
-  private static Optional<Choice> choice(RoutingView view, RouteKey k, boolean mayRefuse) {
-    return view.owner(k).map(o -> new Choice(k, o, mayRefuse));
+    Target shortest = shortestWait(s);
+    return shortest == null ? null : new Choice(shortest, false);
   }
 
-  private boolean isUsable(RoutingView view, Route r) {
-    return r.weight() > 0
-        && !failed.contains(r.key().dataCentre())
-        && view.owners().containsKey(r.key());
-  }
-
-  private Optional<RouteKey> nextToAsk(RoutingView view, List<Route> usable) {
-    if (first.isEmpty()) {
-      first = drawFirst(view, usable);
+  private @Nullable Target nextToAsk(ServiceView s) {
+    if (first == null) {
+      first = drawFirst(s);
     }
-    Optional<RouteKey> preferred =
-        first.map(d -> new RouteKey(service, d)).filter(k -> isWorthAsking(usable, k));
-    if (preferred.isPresent()) {
+    Target preferred = first == null ? null : s.at(first);
+    if (preferred != null && isWorthAsking(preferred)) {
       return preferred;
     }
-    double waitHere = first.map(d -> waitMs(view, new RouteKey(service, d))).orElse(0.0);
-    List<Route> others =
-        usable.stream()
-            .filter(r -> isWorthAsking(usable, r.key()))
-            .filter(r -> roundTripMs(view, r.key()) < waitHere)
-            .toList();
+    double waitHere = preferred == null ? 0 : waitMs(preferred);
+    var others = new ArrayList<Target>(s.targets().size());
+    for (Target t : s.targets()) {
+      if (isWorthAsking(t) && roundTripMs(t) < waitHere) {
+        others.add(t);
+      }
+    }
     return byWeight(others);
   }
 
-  private Optional<DataCentre> drawFirst(RoutingView view, List<Route> usable) {
-    TrafficSplit split = view.splits().get(service);
-    Optional<DataCentre> drawn =
-        split == null ? Optional.empty() : split.choose(random.nextDouble());
-    return drawn
-        .filter(d -> usable.stream().anyMatch(r -> r.key().dataCentre().equals(d)))
-        .or(() -> byWeight(usable).map(RouteKey::dataCentre));
+  private @Nullable DataCentre drawFirst(ServiceView s) {
+    DataCentre drawn = s.split().choose(random.nextDouble()).orElse(null);
+    if (drawn != null && s.at(drawn) != null) {
+      return drawn;
+    }
+    Target t = byWeight(s.targets());
+    return t == null ? null : t.key().dataCentre();
   }
 
-  private boolean isWorthAsking(List<Route> usable, RouteKey k) {
-    return !asked.contains(k.dataCentre())
-        && !loads.isBusy(k)
-        && usable.stream().anyMatch(r -> r.key().equals(k));
+  private boolean isWorthAsking(Target t) {
+    DataCentre d = t.key().dataCentre();
+    return !failed.contains(d) && !asked.contains(d) && !loads.isBusy(t.key());
   }
 
-  private Optional<RouteKey> shortestWait(RoutingView view, List<Route> usable) {
-    var shuffled = new ArrayList<>(usable);
-    java.util.Collections.shuffle(shuffled, random);
-    return shuffled.stream()
-        .map(Route::key)
-        .min(Comparator.comparingDouble(k -> waitMs(view, k) + roundTripMs(view, k)));
+  private @Nullable Target shortestWait(ServiceView s) {
+    Target best = null;
+    double lowest = Double.POSITIVE_INFINITY;
+    int size = s.targets().size();
+    int start = size == 0 ? 0 : random.nextInt(size);
+    for (int i = 0; i < size; i++) {
+      Target t = s.targets().get((start + i) % size);
+      double cost = waitMs(t) + roundTripMs(t);
+      boolean usable = !failed.contains(t.key().dataCentre());
+      if (usable && (best == null || cost < lowest)) {
+        best = t;
+        lowest = cost;
+      }
+    }
+    return best;
   }
 
-  private double waitMs(RoutingView view, RouteKey k) {
-    return view.owner(k).orElse(null) instanceof RouteOwner.Local l
+  private double waitMs(Target t) {
+    return t.owner() instanceof RouteOwner.Local l
         ? l.scheduler().expectedWaitMs()
-        : loads.expectedWaitMs(k).orElse(UNKNOWN_WAIT_MS);
+        : loads.expectedWaitMs(t.key(), UNKNOWN_WAIT_MS);
   }
 
-  private static double roundTripMs(RoutingView view, RouteKey k) {
-    return view.owner(k).orElse(null) instanceof RouteOwner.Remote r ? r.hop().roundTripMs() : 0;
+  private static double roundTripMs(Target t) {
+    return t.owner() instanceof RouteOwner.Remote r ? r.hop().roundTripMs() : 0;
   }
 
-  private Optional<RouteKey> byWeight(List<Route> routes) {
-    int sum = routes.stream().mapToInt(Route::weight).sum();
+  private @Nullable Target byWeight(List<Target> targets) {
+    int sum = 0;
+    for (Target t : targets) {
+      sum += t.weight();
+    }
     if (sum <= 0) {
-      return Optional.empty();
+      return null;
     }
     int draw = random.nextInt(sum);
-    for (Route r : routes) {
-      draw -= r.weight();
+    for (Target t : targets) {
+      draw -= t.weight();
       if (draw < 0) {
-        return Optional.of(r.key());
+        return t;
       }
     }
-    return Optional.empty();
+    return null;
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/EntriesFilter.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/EntriesFilter.java
@@ -79,7 +79,7 @@
   }
 
   static Problem unknownService(RoutingView v, ServiceName s) {
-    if (v.table().version() == 0) {
+    if (!v.configured()) {
       return new Problem(
           ProblemKind.NO_CONFIGURATION,
           "this host has just started and has no configuration yet",
--- a/host/src/main/java/dev/cactusstack/host/callers/LoadReport.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/LoadReport.java
@@ -1,7 +1,5 @@
 package dev.cactusstack.host.callers;
 
-import java.util.Locale;
-
 /**
  * An upstream's report on one of its answers: {@code Cactusstack-Load: in-flight=3, slots=4,
  * state=warm}.
@@ -11,6 +9,7 @@
  * @param state what the upstream says of itself
  */
 record LoadReport(Reported state) {
+  private static final String STATE = "state=";
   static final LoadReport NONE = new LoadReport(Reported.NOTHING);
 
   /** What an upstream can say of itself. */
@@ -25,13 +24,13 @@
     if (header == null) {
       return NONE;
     }
-    for (String part : header.split(",")) {
-      String p = part.trim().toLowerCase(Locale.ROOT);
-      if (p.startsWith("state=")) {
-        return new LoadReport(state(p.substring("state=".length())));
-      }
+    int at = header.indexOf(STATE);
+    if (at < 0) {
+      return NONE;
     }
-    return NONE;
+    int from = at + STATE.length();
+    int to = header.indexOf(',', from);
+    return new LoadReport(state(header.substring(from, to < 0 ? header.length() : to).strip()));
   }
 
   private static Reported state(String label) {
--- a/host/src/main/java/dev/cactusstack/host/callers/RemoteLoads.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RemoteLoads.java
@@ -2,9 +2,7 @@
 
 import dev.cactusstack.host.observe.Ticker;
 import dev.cactusstack.model.RouteKey;
-import java.util.Locale;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -31,7 +29,7 @@
   static String render(RouteScheduler s) {
     double wait = Math.min(s.expectedWaitMs(), Integer.MAX_VALUE);
     boolean busy = wait > 0;
-    return String.format(Locale.ROOT, "%s %.1f", busy ? "busy" : "free", wait);
+    return (busy ? "busy " : "free ") + Math.round(wait);
   }
 
   void record(RouteKey key, @Nullable String header) {
@@ -61,11 +59,9 @@
     return r != null && r.busy && ticker.nanos() - r.atNanos < BUSY_NANOS;
   }
 
-  /** The wait that the owner expected, unless the report has expired. */
-  OptionalDouble expectedWaitMs(RouteKey key) {
+  /** The wait that the owner expected, or {@code unknown} when the report has expired. */
+  double expectedWaitMs(RouteKey key, double unknown) {
     Report r = reports.get(key);
-    return r != null && ticker.nanos() - r.atNanos < FRESH_NANOS
-        ? OptionalDouble.of(r.waitMs)
-        : OptionalDouble.empty();
+    return r != null && ticker.nanos() - r.atNanos < FRESH_NANOS ? r.waitMs : unknown;
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -8,6 +8,7 @@
 import dev.cactusstack.host.callers.Destinations.Choice;
 import dev.cactusstack.host.observe.ServiceMetrics;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.DataCentre;
 import dev.cactusstack.model.Problem;
 import dev.cactusstack.model.ProblemKind;
 import dev.cactusstack.model.RouteKey;
@@ -16,7 +17,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -36,7 +36,7 @@
   private final DataPath path;
   private final ServiceMetrics metrics;
   private final Destinations destinations;
-  private final Set<Address> avoided = new HashSet<>();
+  private Set<Address> avoided = Set.of();
   private @Nullable LeaseWait wait;
   private @Nullable UpstreamRace race;
   private @Nullable Attempt passedOn;
@@ -86,43 +86,43 @@
       return;
     }
     RoutingView view = path.view().get();
-    Optional<Choice> choice =
+    Choice choice =
         facts.forwardedTo().isPresent()
-            ? ownRoute(view)
+            ? ownRoute(view, facts.forwardedTo().get())
             : destinations.next(view, facts.bodiless());
-    if (choice.isEmpty()) {
+    if (choice == null) {
       refuseNow(
           new Problem(
               ProblemKind.NO_UPSTREAM,
               "no data centre can serve " + facts.service() + " now",
               "check 'cactusctl status' for data centres that are out and for weights of 0"));
-    } else if (choice.get().owner() instanceof RouteOwner.Local local) {
-      serveHere(choice.get(), local.scheduler());
-    } else if (choice.get().owner() instanceof RouteOwner.Remote remote) {
-      passOn(choice.get(), remote.hop());
+    } else if (choice.target().owner() instanceof RouteOwner.Local local) {
+      serveHere(choice, local.scheduler());
+    } else if (choice.target().owner() instanceof RouteOwner.Remote remote) {
+      passOn(choice, remote.hop());
     }
   }
 
-  private Optional<Choice> ownRoute(RoutingView view) {
-    return facts
-        .forwardedTo()
-        .map(d -> new RouteKey(facts.service(), d))
-        .flatMap(k -> view.owner(k).map(o -> new Choice(k, o, facts.mayRefuse())))
-        .filter(c -> c.owner() instanceof RouteOwner.Local);
+  private @Nullable Choice ownRoute(RoutingView view, DataCentre d) {
+    ServiceView s = view.service(facts.service());
+    ServiceView.Target t = s == null ? null : s.at(d);
+    return t != null && t.owner() instanceof RouteOwner.Local
+        ? new Choice(t, facts.mayRefuse())
+        : null;
   }
 
   private void serveHere(Choice choice, RouteScheduler scheduler) {
     if (!choice.mayRefuse()) {
-      waitFor(choice.key(), scheduler);
+      waitFor(choice.target().key(), scheduler);
       return;
     }
     Lease lease = scheduler.tryNow(avoided);
     if (lease != null) {
-      run(choice.key(), scheduler, lease);
+      run(choice.target().key(), scheduler, lease);
     } else if (facts.forwardedTo().isPresent()) {
-      refuseWithLoad(choice.key(), scheduler);
+      refuseWithLoad(choice.target().key(), scheduler);
     } else {
-      destinations.refused(choice.key().dataCentre());
+      destinations.refused(choice.target().key().dataCentre());
       route();
     }
   }
@@ -178,7 +178,11 @@
     metrics.attempted();
     ClientRequest r =
         RequestHeads.toOwner(
-            exchange, facts, choice.key().dataCentre(), path.token().issue(), choice.mayRefuse());
+            exchange,
+            facts,
+            choice.target().key().dataCentre(),
+            path.token().issue(),
+            choice.mayRefuse());
     Attempt attempt =
         new Attempt(
             exchange,
@@ -217,6 +221,12 @@
     }
   }
 
+  private static Set<Address> with(Set<Address> set, Address a) {
+    var more = new HashSet<>(set);
+    more.add(a);
+    return Set.copyOf(more);
+  }
+
   private boolean isBodyUntouched() {
     return facts.bodiless() || exchange.isRequestChannelAvailable();
   }
@@ -279,7 +289,7 @@
     @Override
     public void failed(Address upstream, AttemptState state, AttemptEvent cause, String reason) {
       race = null;
-      avoided.add(upstream);
+      avoided = with(avoided, upstream);
       retryOrTell(state, cause, reason);
     }
   }
@@ -295,7 +305,7 @@
     @Override
     public void answered(ClientResponse response, long waitedNanos) {
       HeaderMap from = response.getResponseHeaders();
-      path.remoteLoads().record(choice.key(), from.getFirst(CactusHeaders.ROUTE_LOAD));
+      path.remoteLoads().record(choice.target().key(), from.getFirst(CactusHeaders.ROUTE_LOAD));
       copyAnswer(response, waitedNanos);
       // The owner removes this field from upstreams' answers, so here it is the owner's own word.
       String outcome = from.getFirst(CactusHeaders.OUTCOME);
@@ -307,7 +317,7 @@
     @Override
     public void refused(ClientResponse response) {
       String load = response.getResponseHeaders().getFirst(CactusHeaders.ROUTE_LOAD);
-      path.remoteLoads().recordRefusal(choice.key(), load);
+      path.remoteLoads().recordRefusal(choice.target().key(), load);
     }
 
     @Override
@@ -317,12 +327,12 @@
     public void failed(AttemptState state, AttemptEvent cause, String reason) {
       passedOn = null;
       if (choice.mayRefuse() && cause == AttemptEvent.REFUSED) {
-        destinations.refused(choice.key().dataCentre());
+        destinations.refused(choice.target().key().dataCentre());
         route();
         return;
       }
       if (cause != AttemptEvent.REFUSED) {
-        destinations.failed(choice.key().dataCentre());
+        destinations.failed(choice.target().key().dataCentre());
       }
       retryOrTell(state, cause, reason);
     }
--- a/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
@@ -32,6 +32,7 @@
   private final AtomicInteger waiting = new AtomicInteger();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger turn = new AtomicInteger();
+  private volatile double usualMs = 1;
   private volatile List<Upstream> upstreams = List.of();
   private volatile RouteLimits limits = new RouteLimits(0, 1, 0);
 
@@ -141,6 +142,11 @@
     return withinRouteLimit(l -> leaseAmong(candidates, l, 0));
   }
 
+  /** The usual time of an answer at the last choice, in milliseconds. */
+  double usualMs() {
+    return usualMs;
+  }
+
   /** What the upstreams can be expected to do now. */
   GroupOutlook outlook() {
     return GroupOutlook.of(views(upstreams, limits, ticker.nanos()));
@@ -241,6 +247,7 @@
     for (int i = 0; i <= candidates.size(); i++) {
       long now = ticker.nanos();
       List<UpstreamView> views = views(candidates, l, now);
+      usualMs = GroupOutlook.of(views).usualMs();
       OptionalInt choice = policy.pick(views, turn.getAndIncrement(), waits);
       if (choice.isEmpty()) {
         return null;
--- a/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
@@ -7,7 +7,8 @@
 import dev.cactusstack.model.Address;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -34,7 +35,7 @@
   private final DataPath path;
   private final RouteScheduler scheduler;
   private final End end;
-  private final Set<Runner> running = new HashSet<>();
+  private final List<Runner> running = new ArrayList<>(2);
   private XnioExecutor.@Nullable Key timer;
   private @Nullable Runner winner;
   private boolean possiblyRun;
@@ -63,7 +64,7 @@
 
   void start(Lease lease) {
     if (facts.isHedgeable()) {
-      armTimer(LATE_RATIO * scheduler.outlook().usualMs());
+      armTimer(LATE_RATIO * scheduler.usualMs());
     }
     begin(lease);
   }
@@ -84,10 +85,10 @@
     if (winner != null || running.size() != 1) {
       return;
     }
-    Address current = running.iterator().next().lease.upstream().address();
+    Address current = running.get(0).lease.upstream().address();
     Lease second = scheduler.tryAhead(Set.of(current));
     if (second == null) {
-      armTimer(scheduler.outlook().usualMs() / 8);
+      armTimer(scheduler.usualMs() / 8);
     } else if (path.hedges().withdraw()) {
       begin(second);
     } else {
@@ -98,7 +99,7 @@
   /** Gives up: the caller has its answer, or has gone. */
   void callerGone() {
     stopTimer();
-    for (Runner r : Set.copyOf(running)) {
+    for (Runner r : List.copyOf(running)) {
       if (winner == null || r == winner) {
         r.attempt.cancel();
         r.ended();
@@ -139,7 +140,11 @@
       }
       winner = this;
       stopTimer();
-      running.stream().filter(r -> r != this).forEach(r -> r.attempt.detach());
+      for (Runner r : running) {
+        if (r != this) {
+          r.attempt.detach();
+        }
+      }
       end.answered(response, waitedNanos);
     }
 
--- a/host/src/main/java/dev/cactusstack/host/control/RoutingPlan.java
+++ b/host/src/main/java/dev/cactusstack/host/control/RoutingPlan.java
@@ -11,6 +11,8 @@
 import dev.cactusstack.host.callers.RouteOwner;
 import dev.cactusstack.host.callers.RouteScheduler;
 import dev.cactusstack.host.callers.RoutingView;
+import dev.cactusstack.host.callers.ServiceView;
+import dev.cactusstack.host.callers.ServiceView.Target;
 import dev.cactusstack.host.callers.Upstream;
 import dev.cactusstack.model.DataCentre;
 import dev.cactusstack.model.HostId;
@@ -18,113 +20,95 @@
 import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.model.ServiceName;
 import dev.cactusstack.model.Table;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SortedMap;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 
-/** Computes routing snapshots from members, configuration and upstreams. Stateless. */
+/** Computes routing snapshots from members, configuration and upstreams. Confined to one thread. */
 final class RoutingPlan {
-  private RoutingPlan() {}
+  private final Member self;
+  private final List<Member> known;
+  private final List<Member> serving;
+  private final Map<HostId, Member> byId = new HashMap<>();
+  private final Map<DataCentre, List<HostId>> byDataCentre = new HashMap<>();
+  private final ToDoubleFunction<HostId> roundTripMs;
 
-  static RoutingView of(
-      Member self,
-      SortedMap<HostId, Member> members,
-      Table table,
-      Map<RouteKey, List<Upstream>> upstreams,
-      Map<RouteKey, RouteScheduler> schedulers,
-      ToDoubleFunction<HostId> roundTripMs) {
-    List<Member> serving = members.values().stream().filter(Member::serves).toList();
-    Map<RouteKey, RouteOwner> owners =
-        owners(self, serving, table, upstreams, schedulers, roundTripMs);
-    return new RoutingView(
-        self.info().dataCentre(),
-        table,
-        splits(self, members, table, owners),
-        owners,
-        entries(self, serving));
-  }
-
-  static boolean isLocal(@Nullable RouteOwner o) {
-    return o instanceof RouteOwner.Local;
+  RoutingPlan(Member self, Iterable<Member> members, ToDoubleFunction<HostId> roundTripMs) {
+    this.self = self;
+    this.roundTripMs = roundTripMs;
+    this.known = new ArrayList<>();
+    this.serving = new ArrayList<>();
+    for (Member m : members) {
+      known.add(m);
+      if (m.serves()) {
+        serving.add(m);
+        byId.put(m.id(), m);
+        byDataCentre.computeIfAbsent(m.info().dataCentre(), d -> new ArrayList<>()).add(m.id());
+      }
+    }
   }
 
-  private static Map<RouteKey, RouteOwner> owners(
-      Member self,
-      List<Member> serving,
+  RoutingView view(
       Table table,
       Map<RouteKey, List<Upstream>> upstreams,
-      Map<RouteKey, RouteScheduler> schedulers,
-      ToDoubleFunction<HostId> roundTripMs) {
-    var byDataCentre = new HashMap<DataCentre, List<HostId>>();
-    var byId = new HashMap<HostId, Member>();
-    for (Member m : serving) {
-      byId.put(m.id(), m);
-      byDataCentre
-          .computeIfAbsent(m.info().dataCentre(), d -> new java.util.ArrayList<>())
-          .add(m.id());
-    }
-    var owners = new TreeMap<RouteKey, RouteOwner>();
+      Map<RouteKey, RouteScheduler> schedulers) {
+    var targets = new TreeMap<ServiceName, List<Target>>();
     for (Route r : table.routes().values()) {
-      RouteKey key = r.key();
-      RouteScheduler scheduler = schedulers.get(key);
-      List<HostId> candidates =
-          byDataCentre.getOrDefault(key.dataCentre(), List.copyOf(byId.keySet()));
-      if (scheduler == null
-          || !isUsable(upstreams.get(key))
-          || r.weight() == 0
-          || table.isOut(key.dataCentre())) {
-        continue;
+      List<Target> list = targets.computeIfAbsent(r.key().service(), s -> new ArrayList<>());
+      RouteScheduler scheduler = schedulers.get(r.key());
+      boolean usable =
+          r.weight() > 0 && !table.isOut(r.key().dataCentre()) && canServe(upstreams.get(r.key()));
+      if (usable && scheduler != null) {
+        owner(r.key(), scheduler).ifPresent(o -> list.add(new Target(r.key(), r.weight(), o)));
       }
-      Rendezvous.first(key.toString(), candidates)
-          .map(byId::get)
-          .ifPresent(m -> owners.put(key, owner(self, m, scheduler, roundTripMs)));
     }
-    return owners;
+    Map<ServiceName, Map<DataCentre, Double>> arrivals = arrivals();
+    var services = new HashMap<ServiceName, ServiceView>();
+    targets.forEach(
+        (s, list) ->
+            services.put(
+                s, new ServiceView(split(list, arrivals.getOrDefault(s, Map.of())), list)));
+    return new RoutingView(self.info().dataCentre(), table.version() > 0, services, entries());
   }
 
-  private static boolean isUsable(@Nullable List<Upstream> list) {
+  static boolean isLocal(Optional<RouteOwner> o) {
+    return o.isPresent() && o.get() instanceof RouteOwner.Local;
+  }
+
+  private static boolean canServe(@Nullable List<Upstream> list) {
     return list != null && list.stream().anyMatch(u -> u.health().state() != UpstreamState.LEAVING);
   }
 
-  private static RouteOwner owner(
-      Member self, Member m, RouteScheduler scheduler, ToDoubleFunction<HostId> roundTripMs) {
+  /** The first-ranked host of the route's data centre; of all hosts when that one has none. */
+  private Optional<RouteOwner> owner(RouteKey key, RouteScheduler scheduler) {
+    List<HostId> candidates =
+        byDataCentre.getOrDefault(key.dataCentre(), List.copyOf(byId.keySet()));
+    return Rendezvous.first(key.toString(), candidates)
+        .flatMap(id -> Optional.ofNullable(byId.get(id)))
+        .map(m -> owner(m, scheduler));
+  }
+
+  private RouteOwner owner(Member m, RouteScheduler scheduler) {
     return m.id().equals(self.id())
         ? new RouteOwner.Local(scheduler)
         : new RouteOwner.Remote(
             new Hop(m.id(), m.info().callers(), roundTripMs.applyAsDouble(m.id())));
   }
 
-  private static Map<ServiceName, TrafficSplit> splits(
-      Member self,
-      SortedMap<HostId, Member> members,
-      Table table,
-      Map<RouteKey, RouteOwner> owners) {
-    var weights = new TreeMap<ServiceName, Map<DataCentre, Integer>>();
-    for (Route r : table.routes().values()) {
-      Map<DataCentre, Integer> w = weights.computeIfAbsent(r.key().service(), s -> new TreeMap<>());
-      if (owners.containsKey(r.key())) {
-        w.put(r.key().dataCentre(), r.weight());
-      }
-    }
-    Map<ServiceName, Map<DataCentre, Double>> arrivals = arrivals(members);
-    var splits = new TreeMap<ServiceName, TrafficSplit>();
-    weights.forEach(
-        (s, w) ->
-            splits.put(
-                s,
-                TrafficSplit.compute(
-                    self.info().dataCentre(), arrivals.getOrDefault(s, Map.of()), w)));
-    return splits;
+  private TrafficSplit split(List<Target> targets, Map<DataCentre, Double> arrivals) {
+    var weights = new TreeMap<DataCentre, Integer>();
+    targets.forEach(t -> weights.put(t.key().dataCentre(), t.weight()));
+    return TrafficSplit.compute(self.info().dataCentre(), arrivals, weights);
   }
 
-  private static Map<ServiceName, Map<DataCentre, Double>> arrivals(
-      SortedMap<HostId, Member> members) {
+  private Map<ServiceName, Map<DataCentre, Double>> arrivals() {
     var arrivals = new TreeMap<ServiceName, Map<DataCentre, Double>>();
-    for (Member m : members.values()) {
+    for (Member m : known) {
       if (m.status() == MemberStatus.DEAD) {
         continue;
       }
@@ -138,7 +122,7 @@
   }
 
   /** Suspected hosts are left out, unless nobody else is left. */
-  private static List<Entry> entries(Member self, List<Member> serving) {
+  private List<Entry> entries() {
     List<Member> alive = serving.stream().filter(m -> m.status() == MemberStatus.ALIVE).toList();
     List<Member> shown = !alive.isEmpty() ? alive : !serving.isEmpty() ? serving : List.of(self);
     return shown.stream().map(m -> new Entry(m.info().callers(), m.info().dataCentre())).toList();
--- a/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
@@ -79,9 +79,7 @@
     this.ticker = Objects.requireNonNull(ticker, "ticker is null");
     this.policy = Objects.requireNonNull(policy, "policy is null");
     this.queueLength = queueLength;
-    this.view =
-        RoutingPlan.of(
-            members.self(), members.members(), table, Map.of(), Map.of(), members::roundTripMs);
+    this.view = plan().view(table, Map.of(), Map.of());
   }
 
   /**
@@ -170,9 +168,7 @@
               byRoute.getOrDefault(r.key(), List.of()), r.limit(), r.upstreamLimit(), queueLength);
     }
     RoutingView before = view;
-    RoutingView after =
-        RoutingPlan.of(
-            members.self(), members.members(), table, byRoute, schedulers, members::roundTripMs);
+    RoutingView after = plan().view(table, byRoute, schedulers);
     view = after;
     publishedSchedulers = Map.copyOf(schedulers);
     handOver(before, after);
@@ -180,17 +176,18 @@
 
   /** Sends waiting requests away from routes that another host owns now. */
   private void handOver(RoutingView before, RoutingView after) {
-    before
-        .owners()
-        .forEach(
-            (key, owner) -> {
-              boolean was = RoutingPlan.isLocal(owner);
-              boolean is = RoutingPlan.isLocal(after.owners().get(key));
-              RouteScheduler s = schedulers.get(key);
-              if (was && !is && s != null) {
-                s.refuseAll(movedAway(key));
-              }
-            });
+    schedulers.forEach(
+        (key, s) -> {
+          boolean was = RoutingPlan.isLocal(before.owner(key));
+          boolean is = RoutingPlan.isLocal(after.owner(key));
+          if (was && !is) {
+            s.refuseAll(movedAway(key));
+          }
+        });
+  }
+
+  private RoutingPlan plan() {
+    return new RoutingPlan(members.self(), members.members().values(), members::roundTripMs);
   }
 
   private static Problem movedAway(RouteKey key) {
--- a/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
+++ b/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
@@ -18,9 +18,7 @@
 import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.model.Table;
 import java.util.Collection;
-import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 
 /** Renders what operators ask to see. Thread-safe. */
 public final class OperatorsView {
@@ -114,22 +112,18 @@
   private ArrayNode ownedUpstreams() {
     ArrayNode list = Json.object().putArray("upstreams");
     RoutingView view = upstreams.view();
-    view.owners()
-        .forEach(
-            (key, owner) -> {
-              if (owner instanceof RouteOwner.Local l) {
-                addUpstreams(list, view, key, l.scheduler());
-              }
-            });
+    for (Route r : configuration.inForce().routes().values()) {
+      if (view.owner(r.key()).orElse(null) instanceof RouteOwner.Local l) {
+        addUpstreams(list, r, l.scheduler());
+      }
+    }
     return list;
   }
 
-  private void addUpstreams(
-      ArrayNode list, RoutingView view, RouteKey key, RouteScheduler scheduler) {
-    Optional<Route> route = view.table().route(key);
-    int operatorLimit = route.map(Route::upstreamLimit).orElse(0);
-    List<Upstream> all = scheduler.upstreams();
-    for (Upstream u : all) {
+  private void addUpstreams(ArrayNode list, Route route, RouteScheduler scheduler) {
+    RouteKey key = route.key();
+    int operatorLimit = route.upstreamLimit();
+    for (Upstream u : scheduler.upstreams()) {
       list.addObject()
           .put("address", u.address().toString())
           .put("service", key.service().value())
