--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
@@ -18,7 +18,8 @@
   /** An upstream is slow when it takes this many times the usual answer time of its group. */
   static final double SLOW_RATIO = 2.5;
 
-  private static final double MIN_LATENCY_MS = 0.05;
+  /** Differences below this are noise of the measurement, not of the upstreams. */
+  private static final double MIN_LATENCY_MS = 1;
 
   /**
    * Computes the outlook.
--- /dev/null
+++ b/decisions/src/test/java/dev/cactusstack/decisions/membership/MembershipTest.java
@@ -0,0 +1,101 @@
+package dev.cactusstack.decisions.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Faults of hosts and networks, in virtual time. */
+class MembershipTest {
+  private static final int SIZE = 16;
+
+  @Test
+  void shouldKnowEachOtherWhenTheyStartTogether() {
+    var g = new Group(SIZE, 0, 2, 1);
+    g.run(3_000);
+    assertThat(g.allAlive()).isTrue();
+  }
+
+  @Property(tries = 20, seed = "21")
+  void shouldRemoveACrashedHostWithinThreeSecondsOnMostHosts(
+      @ForAll @IntRange(max = 10_000) int seed) {
+    var g = new Group(SIZE, 0, 5, seed);
+    g.run(4_000);
+    g.pause(3);
+    g.run(3_000);
+    long suspectOrDead =
+        IntStream.range(0, SIZE).filter(i -> i != 3 && g.seen(i, 3) != MemberStatus.ALIVE).count();
+    assertThat(suspectOrDead).isGreaterThanOrEqualTo(SIZE - 2);
+    g.run(4_000);
+    assertThat(IntStream.range(0, SIZE).filter(i -> i != 3).mapToObj(i -> g.seen(i, 3)))
+        .allMatch(s -> s == MemberStatus.DEAD);
+  }
+
+  @Property(tries = 5, seed = "22")
+  void shouldRemoveNobodyWhenMessagesAreLostAndDelayed(@ForAll @IntRange(max = 10_000) int seed) {
+    var g = new Group(SIZE, 0.01, 50, seed);
+    g.run(4_000);
+    for (int i = 0; i < 600; i++) {
+      g.run(200);
+      for (int by = 0; by < SIZE; by++) {
+        for (int of = 0; of < SIZE; of++) {
+          assertThat(g.seen(by, of)).isNotEqualTo(MemberStatus.DEAD);
+        }
+      }
+    }
+  }
+
+  @Property(tries = 10, seed = "23")
+  void shouldTakeBackAHostThatWasPausedAndDeclaredDead(@ForAll @IntRange(max = 10_000) int seed) {
+    var g = new Group(8, 0, 5, seed);
+    g.run(4_000);
+    g.pause(2);
+    g.run(9_000);
+    g.resume(2);
+    g.run(9_000);
+    assertThat(g.allAlive()).isTrue();
+    assertThat(g.host(2).self().incarnation()).isGreaterThan(1);
+  }
+
+  @Property(tries = 10, seed = "24")
+  void shouldReplaceAHostThatRestartsAtTheSameAddress(@ForAll @IntRange(max = 10_000) int seed) {
+    var g = new Group(8, 0, 5, seed);
+    g.run(4_000);
+    g.restart(2, 1_000);
+    g.run(5_000);
+    assertThat(g.allAlive()).isTrue();
+    assertThat(g.host(5).members().get(Group.id(2)).incarnation()).isEqualTo(1_000);
+  }
+
+  @Test
+  void shouldSendTheSameForEachHostWhenTheGroupGrows() {
+    long small = perHost(8);
+    long large = perHost(64);
+    assertThat(large).isLessThanOrEqualTo(small * 2);
+  }
+
+  private static long perHost(int size) {
+    var g = new Group(size, 0, 5, 3);
+    g.run(20_000);
+    long before = g.sent();
+    g.run(20_000);
+    return (g.sent() - before) / size;
+  }
+
+  @Test
+  void shouldTellEveryHostWhenOneAnnouncesAVersion() {
+    var g = new Group(SIZE, 0, 5, 4);
+    g.run(4_000);
+    g.host(0).announce(g.host(0).self().info().withConfigVersion(9));
+    g.run(4_000);
+    assertThat(IntStream.range(0, SIZE).mapToLong(i -> version(g, i))).allMatch(v -> v == 9);
+  }
+
+  private static long version(Group g, int by) {
+    Member m = g.host(by).members().get(Group.id(0));
+    return m == null ? 0 : m.info().configVersion();
+  }
+}
--- /dev/null
+++ b/decisions/src/test/resources/dev/cactusstack/decisions/attempts.feature
@@ -0,0 +1,31 @@
+Feature: What follows a failed attempt
+  A request that may have run goes again only when it is idempotent, and a caller is told that it was
+  not run only when that is certain.
+
+  Scenario Outline: <method> after <events>
+    Given a request that is <method> with <body>
+    And <left> attempts left
+    When an attempt sees <events>
+    Then the next step is <step>
+
+    Examples:
+      | method         | body        | left | events                              | step         |
+      | not idempotent | no body     | more | CONNECT_FAILED                      | RETRY        |
+      | not idempotent | no body     | no   | CONNECT_FAILED                      | TELL_NOT_RUN |
+      | not idempotent | a used body | more | CONNECT_FAILED                      | TELL_NOT_RUN |
+      | not idempotent | no body     | more | SEND_STARTED,CONNECTION_LOST        | TELL_UNKNOWN |
+      | not idempotent | no body     | more | SEND_STARTED,TIMED_OUT              | TELL_UNKNOWN |
+      | not idempotent | no body     | more | SEND_STARTED,REFUSED                | RETRY        |
+      | not idempotent | a used body | more | SEND_STARTED,REFUSED                | TELL_NOT_RUN |
+      | not idempotent | no body     | more | SEND_STARTED,ANSWER_STARTED,CONNECTION_LOST | ABORT_ANSWER |
+      | idempotent     | no body     | more | SEND_STARTED,CONNECTION_LOST        | RETRY        |
+      | idempotent     | a used body | more | SEND_STARTED,CONNECTION_LOST        | TELL_UNKNOWN |
+      | idempotent     | no body     | no   | SEND_STARTED,TIMED_OUT              | TELL_UNKNOWN |
+      | idempotent     | no body     | more | SEND_STARTED,ANSWER_STARTED,CONNECTION_LOST | ABORT_ANSWER |
+
+  Scenario: An earlier attempt may have run
+    Given a request that is not idempotent with no body
+    And no attempts left
+    And an earlier attempt that may have run
+    When an attempt sees CONNECT_FAILED
+    Then the next step is TELL_UNKNOWN
--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -17,12 +17,10 @@
 import io.undertow.util.Methods;
 import io.undertow.util.Transfer;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.Channels;
 import org.xnio.channels.StreamSinkChannel;
@@ -50,7 +48,7 @@
   private final ByteBufferPool buffers;
   private AttemptState state = AttemptState.NOT_SENT;
   private @Nullable ClientConnection connection;
-  private XnioExecutor.@Nullable Key timer;
+  private TimerWheel.@Nullable Timer timer;
   private boolean bodySent;
   private boolean ended;
   private boolean detached;
@@ -139,7 +137,7 @@
     }
     state = state.after(AttemptEvent.SEND_STARTED);
     sentNanos = ticker.nanos();
-    timer = thread.executeAfter(this::timedOut, answerTimeoutMs, TimeUnit.MILLISECONDS);
+    timer = pools.timers(thread).schedule(answerTimeoutMs, this::timedOut);
     c.sendRequest(
         request,
         new ClientCallback<>() {
@@ -343,7 +341,7 @@
 
   private void stopTimer() {
     if (timer != null) {
-      timer.remove();
+      timer.cancel();
     }
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/ConnectionPools.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/ConnectionPools.java
@@ -82,6 +82,11 @@
     pools.computeIfAbsent(thread, ThreadPool::new).put(to, c);
   }
 
+  /** The timers of a thread; to be used on that thread only. */
+  TimerWheel timers(XnioIoThread thread) {
+    return pools.computeIfAbsent(thread, ThreadPool::new).timers;
+  }
+
   int opened() {
     return opened.get();
   }
@@ -92,9 +97,11 @@
 
     private final XnioIoThread thread;
     private final Map<Address, ArrayDeque<Idle>> idle = new HashMap<>();
+    private final TimerWheel timers;
 
     ThreadPool(XnioIoThread thread) {
       this.thread = thread;
+      this.timers = new TimerWheel(thread);
       thread.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/host/src/main/java/dev/cactusstack/host/callers/LeaseWait.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/LeaseWait.java
@@ -3,11 +3,9 @@
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.Problem;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /**
@@ -21,7 +19,7 @@
   private final Consumer<Lease> granted;
   private final Consumer<Problem> refused;
   private final AtomicBoolean ended = new AtomicBoolean();
-  private XnioExecutor.@Nullable Key timer;
+  private TimerWheel.@Nullable Timer timer;
 
   LeaseWait(
       XnioIoThread thread,
@@ -35,8 +33,8 @@
   }
 
   /** Joins a scheduler's queue for a limited time. Called on the request's I/O thread. */
-  void start(RouteScheduler scheduler, long timeoutMs, Problem atTimeout) {
-    timer = thread.executeAfter(() -> refuse(atTimeout), timeoutMs, TimeUnit.MILLISECONDS);
+  void start(RouteScheduler scheduler, TimerWheel timers, long timeoutMs, Problem atTimeout) {
+    timer = timers.schedule(timeoutMs, () -> refuse(atTimeout));
     scheduler.submit(this);
   }
 
@@ -87,7 +85,7 @@
 
   private void stopTimer() {
     if (timer != null) {
-      timer.remove();
+      timer.cancel();
     }
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -143,6 +143,7 @@
             exchange.getIoThread(), avoided, lease -> run(key, scheduler, lease), this::waitEnded);
     wait.start(
         scheduler,
+        path.pools().timers(exchange.getIoThread()),
         timeoutMs,
         new Problem(
             ProblemKind.OVERLOADED,
--- /dev/null
+++ b/host/src/main/java/dev/cactusstack/host/callers/TimerWheel.java
@@ -0,0 +1,116 @@
+package dev.cactusstack.host.callers;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.xnio.XnioIoThread;
+
+/**
+ * Coarse timers of one I/O thread: a hashed timing wheel (Varghese and Lauck, 1987), in which a
+ * timer costs two list operations and no lock. A timer runs up to two ticks late.
+ *
+ * <p>Invariant: the wheel turns only while it holds timers. Confined to its thread.
+ */
+final class TimerWheel {
+  static final long TICK_MS = 2;
+  private static final int BUCKETS = 1_024;
+
+  private final XnioIoThread thread;
+  private final Timer[] buckets = new Timer[BUCKETS];
+  private int position;
+  private int count;
+  private boolean turning;
+
+  /**
+   * A scheduled task; also the head of a bucket's circular list. Confined to the wheel's thread.
+   */
+  static final class Timer {
+    private @Nullable Runnable task;
+    private @Nullable TimerWheel wheel;
+    private Timer before = this;
+    private Timer after = this;
+    private long rounds;
+
+    /** Takes the timer out, unless it has run. */
+    void cancel() {
+      TimerWheel w = wheel;
+      if (w != null) {
+        wheel = null;
+        task = null;
+        unlink();
+        w.count--;
+      }
+    }
+
+    private void unlink() {
+      before.after = after;
+      after.before = before;
+      before = this;
+      after = this;
+    }
+  }
+
+  TimerWheel(XnioIoThread thread) {
+    this.thread = thread;
+    for (int i = 0; i < BUCKETS; i++) {
+      buckets[i] = new Timer();
+    }
+  }
+
+  Timer schedule(double delayMs, Runnable task) {
+    long ticks = Math.max(1, (long) Math.ceil(delayMs / TICK_MS));
+    var t = new Timer();
+    t.task = task;
+    t.wheel = this;
+    t.rounds = (ticks - 1) / BUCKETS;
+    Timer head = buckets[(int) ((position + ticks) % BUCKETS)];
+    t.before = head.before;
+    t.after = head;
+    head.before.after = t;
+    head.before = t;
+    count++;
+    if (!turning) {
+      turning = true;
+      turnLater();
+    }
+    return t;
+  }
+
+  private void turnLater() {
+    thread.executeAfter(this::turn, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void turn() {
+    position = (position + 1) % BUCKETS;
+    due(buckets[position]).forEach(TimerWheel::fire);
+    turning = count > 0;
+    if (turning) {
+      turnLater();
+    }
+  }
+
+  /** Takes no timer out yet: a task that runs may cancel those after it. */
+  private static List<Timer> due(Timer head) {
+    List<Timer> due = List.of();
+    for (Timer t = head.after; t != head; t = t.after) {
+      if (t.rounds > 0) {
+        t.rounds--;
+        continue;
+      }
+      if (due.isEmpty()) {
+        due = new ArrayList<>();
+      }
+      due.add(t);
+    }
+    return due;
+  }
+
+  private static void fire(Timer t) {
+    Runnable task = t.task;
+    t.cancel();
+    if (task != null) {
+      task.run();
+    }
+  }
+}
--- a/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
@@ -10,9 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.xnio.XnioExecutor;
 
 /**
  * A request at an upstream, and, when that one is late and the request may run twice, at a second
@@ -36,7 +34,7 @@
   private final RouteScheduler scheduler;
   private final End end;
   private final List<Runner> running = new ArrayList<>(2);
-  private XnioExecutor.@Nullable Key timer;
+  private TimerWheel.@Nullable Timer timer;
   private @Nullable Runner winner;
   private boolean possiblyRun;
 
@@ -77,8 +75,8 @@
   }
 
   private void armTimer(double ms) {
-    long micros = Math.round(Math.max(MIN_LATE_MS, ms) * 1_000);
-    timer = exchange.getIoThread().executeAfter(this::late, micros, TimeUnit.MICROSECONDS);
+    double delayMs = Math.max(MIN_LATE_MS, ms);
+    timer = path.pools().timers(exchange.getIoThread()).schedule(delayMs, this::late);
   }
 
   private void late() {
@@ -109,7 +107,7 @@
 
   private void stopTimer() {
     if (timer != null) {
-      timer.remove();
+      timer.cancel();
     }
   }
 
