--- a/standin/src/main/java/dev/cactusstack/standin/PlatformFaults.java
+++ b/standin/src/main/java/dev/cactusstack/standin/PlatformFaults.java
@@ -6,8 +6,20 @@
  * @param down whether every request is refused by closing the connection
  * @param slowMs delay before each answer, in milliseconds
  * @param loseAnswers number of further transactions whose answer is lost after the write
+ * @param tableDown whether only the table service is refused, and the host list still answers
  */
-public record PlatformFaults(boolean down, long slowMs, int loseAnswers) {
+public record PlatformFaults(boolean down, long slowMs, int loseAnswers, boolean tableDown) {
   /** No faults. */
-  public static final PlatformFaults NONE = new PlatformFaults(false, 0, 0);
+  public static final PlatformFaults NONE = new PlatformFaults(false, 0, 0, false);
+
+  /**
+   * Creates faults of the whole platform.
+   *
+   * @param down whether every request is refused by closing the connection
+   * @param slowMs delay before each answer, in milliseconds
+   * @param loseAnswers number of further transactions whose answer is lost after the write
+   */
+  public PlatformFaults(boolean down, long slowMs, int loseAnswers) {
+    this(down, slowMs, loseAnswers, false);
+  }
 }
--- a/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
@@ -124,7 +124,7 @@
       changeFaults(x);
       return;
     }
-    if (f.down()) {
+    if (f.down() || f.tableDown() && isTable(x.getRequestPath())) {
       IoUtils.safeClose(x.getConnection());
       return;
     }
@@ -147,6 +147,10 @@
     }
   }
 
+  private static boolean isTable(String path) {
+    return path.equals("/v1/rows") || path.equals("/v1/transactions");
+  }
+
   private static long after(HttpServerExchange x) {
     Deque<String> values = x.getQueryParameters().get("after");
     return values == null ? 0 : Long.parseLong(values.getFirst());
@@ -173,7 +177,7 @@
     if (f.loseAnswers() == 0) {
       return false;
     }
-    faults = new PlatformFaults(f.down(), f.slowMs(), f.loseAnswers() - 1);
+    faults = new PlatformFaults(f.down(), f.slowMs(), f.loseAnswers() - 1, f.tableDown());
     return true;
   }
 
@@ -207,7 +211,8 @@
         new PlatformFaults(
             n.path("down").asBoolean(),
             n.path("slow_ms").asLong(),
-            n.path("lose_answers").asInt()));
+            n.path("lose_answers").asInt(),
+            n.path("table_down").asBoolean()));
     reply(x, 200, Json.object());
   }
 
