Watch progress instead of the first byte: no hang inside an answer, no cut upload

An upstream that went silent inside an answer held its caller for ever (the time-out ended with the answer's head); an upload longer than the answer time-out was cut while its host was leaving (the time-out began with the first byte sent). Ruled out: the drain itself (it counted the request as ended because the attempt had been failed). Change: one progress watch for the whole attempt; a body pump of our own reports progress.

--- a/embedded/src/test/java/dev/cactusstack/embedded/CallersPortTest.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/CallersPortTest.java
@@ -106,14 +106,21 @@
 
   @Test
   void shouldNeverPassACutAnswerOffAsWhole() throws IOException {
-    all(new UpstreamCondition(1, false, false, false, false, true));
+    all(new UpstreamCondition(1, false, false, false, false, true, false));
     String answer = test.call(0, "booking");
     assertThat(answer.startsWith("HTTP/1.1 200") && answer.endsWith("}")).isFalse();
   }
 
+  @Test
+  void shouldEndACallWhenAnUpstreamGoesSilentInsideAnAnswer() throws IOException {
+    all(UpstreamCondition.HEALTHY.stalling());
+    String answer = test.call(0, "scans");
+    assertThat(answer.startsWith("HTTP/1.1 200") && answer.endsWith("}")).isFalse();
+  }
+
   @Test
   void shouldSayNotRunWhenEveryUpstreamRefuses() throws IOException {
-    all(new UpstreamCondition(1, false, true, false, false, false));
+    all(new UpstreamCondition(1, false, true, false, false, false, false));
     String answer =
         test.raw(
             0,
@@ -123,7 +130,7 @@
 
   @Test
   void shouldSayUnknownAndRunOnceWhenAnUpstreamIsSilent() throws Exception {
-    all(new UpstreamCondition(1, false, false, false, true, false));
+    all(new UpstreamCondition(1, false, false, false, true, false, false));
     String answer =
         test.raw(
             0,
--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -15,7 +15,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import io.undertow.util.Transfer;
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListener;
@@ -53,6 +52,9 @@
   private boolean ended;
   private boolean detached;
   private long sentNanos;
+  private long progressNanos;
+  private @Nullable BodyPump bodyUp;
+  private @Nullable BodyPump bodyDown;
 
   /** Follows an attempt. Called on the exchange's I/O thread. */
   interface Listener {
@@ -125,7 +127,7 @@
       return;
     }
     ended = true;
-    stopTimer();
+    stop();
     IoUtils.safeClose(connection);
   }
 
@@ -137,7 +139,8 @@
     }
     state = state.after(AttemptEvent.SEND_STARTED);
     sentNanos = ticker.nanos();
-    timer = pools.timers(thread).schedule(answerTimeoutMs, this::timedOut);
+    progressNanos = sentNanos;
+    watch(answerTimeoutMs);
     c.sendRequest(
         request,
         new ClientCallback<>() {
@@ -164,19 +167,46 @@
       finishBody(sink);
       return;
     }
-    Transfer.initiateTransfer(
-        source,
-        sink,
-        null,
-        this::finishBody,
-        (ch, e) -> callerFailed(e),
-        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
-        buffers);
+    bodyUp =
+        BodyPump.start(
+            source,
+            sink,
+            buffers,
+            new Moves() {
+              @Override
+              public void ended(StreamSinkChannel ch) {
+                finishBody(ch);
+              }
+
+              @Override
+              public void readFailed(IOException e) {
+                callerFailed(e);
+              }
+            });
+  }
+
+  /** What both directions have in common. */
+  private abstract class Moves implements BodyPump.Listener {
+    @Override
+    public void moved() {
+      progressNanos = ticker.nanos();
+    }
+
+    @Override
+    public void writeFailed(IOException e) {
+      fail(AttemptEvent.CONNECTION_LOST, e);
+    }
+
+    @Override
+    public void readFailed(IOException e) {
+      fail(AttemptEvent.CONNECTION_LOST, e);
+    }
   }
 
   private void finishBody(StreamSinkChannel sink) {
     try {
       sink.shutdownWrites();
+      progressNanos = ticker.nanos();
       if (sink.flush()) {
         sink.suspendWrites();
         bodySent = true;
@@ -220,7 +250,7 @@
     if (ended) {
       return;
     }
-    stopTimer();
+    progressNanos = ticker.nanos();
     ClientResponse response = x.getResponse();
     if (CactusHeaders.OUTCOME_NOT_RUN.equals(
         response.getResponseHeaders().getFirst(CactusHeaders.OUTCOME))) {
@@ -239,14 +269,17 @@
       drop(x.getResponseChannel());
       return;
     }
-    Transfer.initiateTransfer(
-        x.getResponseChannel(),
-        exchange.getResponseChannel(),
-        null,
-        this::finishAnswer,
-        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
-        (ch, e) -> fail(AttemptEvent.CONNECTION_LOST, e),
-        buffers);
+    bodyDown =
+        BodyPump.start(
+            x.getResponseChannel(),
+            exchange.getResponseChannel(),
+            buffers,
+            new Moves() {
+              @Override
+              public void ended(StreamSinkChannel ch) {
+                finishAnswer(ch);
+              }
+            });
   }
 
   private void drop(StreamSourceChannel source) {
@@ -262,6 +295,7 @@
       }
       source.suspendReads();
       ended = true;
+      stop();
       thread.execute(this::releaseConnection);
       listener.completed();
     } catch (IOException e) {
@@ -294,6 +328,7 @@
       return;
     }
     ended = true;
+    stop();
     finishCaller(sink);
     // The client library is still inside its own handling of this answer; another request may use
     // the connection only after that.
@@ -326,8 +361,20 @@
     }
   }
 
-  private void timedOut() {
-    fail(AttemptEvent.TIMED_OUT, new IOException("no answer within " + answerTimeoutMs + " ms"));
+  private void watch(double delayMs) {
+    timer = pools.timers(thread).schedule(delayMs, this::checkProgress);
+  }
+
+  /** Fails an attempt in which neither body has moved, and no head arrived, for the time limit. */
+  private void checkProgress() {
+    double leftMs = answerTimeoutMs - (ticker.nanos() - progressNanos) / 1e6;
+    if (leftMs > 0) {
+      watch(leftMs);
+    } else {
+      fail(
+          AttemptEvent.TIMED_OUT,
+          new IOException("nothing was heard for " + answerTimeoutMs + " ms"));
+    }
   }
 
   private void fail(AttemptEvent cause, IOException e) {
@@ -339,9 +386,15 @@
     listener.failed(state, cause, String.valueOf(e.getMessage()));
   }
 
-  private void stopTimer() {
+  private void stop() {
     if (timer != null) {
       timer.cancel();
     }
+    if (bodyUp != null) {
+      bodyUp.stop();
+    }
+    if (bodyDown != null) {
+      bodyDown.stop();
+    }
   }
 }
--- a/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.xnio.IoUtils;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
 
 /**
  * An upstream on loopback with slots, a queue, cold start and faults.
@@ -289,23 +290,26 @@
                 .put("path", path)
                 .put("request_id", id)
                 .put("body_bytes", bodyBytes));
-    if (condition.cut()) {
-      cut(x, body);
+    if (condition.cut() || condition.stall()) {
+      sendHalf(x, body, condition.cut());
       return;
     }
     x.getResponseSender().send(ByteBuffer.wrap(body));
   }
 
-  private static void cut(HttpServerExchange x, byte[] body) {
+  private static void sendHalf(HttpServerExchange x, byte[] body, boolean thenClose) {
     x.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
     ByteBuffer half = ByteBuffer.wrap(body, 0, body.length / 2);
     try {
-      x.getResponseChannel().write(half);
-      x.getResponseChannel().flush();
+      StreamSinkChannel sink = x.getResponseChannel();
+      sink.write(half);
+      sink.flush();
     } catch (java.io.IOException e) {
-      // The connection is closed in any case.
+      IoUtils.safeClose(x.getConnection());
+    }
+    if (thenClose) {
+      IoUtils.safeClose(x.getConnection());
     }
-    IoUtils.safeClose(x.getConnection());
   }
 
   private void addLoad(HttpServerExchange x) {
@@ -331,7 +335,8 @@
                       n.path("shedding").asBoolean(),
                       n.path("leaving").asBoolean(),
                       n.path("silent").asBoolean(),
-                      n.path("cut").asBoolean()));
+                      n.path("cut").asBoolean(),
+                      n.path("stall").asBoolean()));
               ex.getResponseSender().send("changed");
             });
   }
