--- /dev/null
+++ b/bench/src/main/java/dev/cactusstack/bench/Background.java
@@ -0,0 +1,30 @@
+package dev.cactusstack.bench;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+
+/** A task beside the experiment's main line. Thread-safe. */
+final class Background<T> {
+  private final FutureTask<T> task;
+
+  private Background(FutureTask<T> task) {
+    this.task = task;
+  }
+
+  static <T> Background<T> start(String name, Callable<T> work) {
+    var task = new FutureTask<T>(work);
+    var thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+    return new Background<>(task);
+  }
+
+  T join() throws InterruptedException {
+    try {
+      return task.get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e.getCause());
+    }
+  }
+}
--- a/bench/src/main/java/dev/cactusstack/bench/BenchMain.java
+++ b/bench/src/main/java/dev/cactusstack/bench/BenchMain.java
@@ -12,6 +12,7 @@
 
 /** The command line of {@code bench/run}. */
 public final class BenchMain {
+  private static final int EXIT_FAILED = 1;
   private static final int EXIT_INVALID = 2;
 
   private BenchMain() {}
@@ -80,8 +81,14 @@
       return;
     }
     var options = new BenchOptions((Long) o.valueOf("seed"), seconds, d.get(), scale);
-    System.out.println(s.get().scenario().run(options));
-    System.exit(0);
+    try {
+      System.out.println(s.get().scenario().run(options));
+      System.exit(0);
+    } catch (RuntimeException e) {
+      // Threads of servers would keep the process alive.
+      e.printStackTrace();
+      System.exit(EXIT_FAILED);
+    }
   }
 
   private static void fail(String reason) {
--- a/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
@@ -6,6 +6,12 @@
 /** The experiments by name. Immutable and thread-safe. */
 enum Scenarios {
   TAIL(new TailScenario(), "tail latency against three other policies"),
+  COLD_START(new ColdStartScenario(), "upstreams that turn cold under load"),
+  MEASURING(new MeasuringScenario(), "what control costs"),
+  AT_MOST_ONCE(new AtMostOnceScenario(), "non-idempotent requests under faults"),
+  SHUTDOWN(new ShutdownScenario(), "hosts and upstreams that leave in good order"),
+  DATA_CENTRE_MOVE(new DataCentreMoveScenario(), "a data centre out and back in"),
+  CONFIGURATION(new ConfigurationScenario(), "edits under faults of the table service"),
   SPEED(new SpeedScenario(), "time and processor time that one entry host adds");
 
   private final Scenario scenario;
--- a/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
@@ -75,7 +75,7 @@
                     .getMap());
     Undertow u =
         Undertow.builder()
-            .addHttpListener(FreePorts.tcp(), "127.0.0.1")
+            .addHttpListener(FreePorts.next(), "127.0.0.1")
             .setWorker(worker)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setHandler(x -> x.getResponseSender().send("{\"empty\":true}"))
--- a/embedded/src/main/java/dev/cactusstack/embedded/EmbeddedHosts.java
+++ b/embedded/src/main/java/dev/cactusstack/embedded/EmbeddedHosts.java
@@ -47,9 +47,9 @@
           new HostSpec(
               dataCentre + "-host-" + (i / dataCentres.size() + 1),
               dataCentre,
-              first && callersPort > 0 ? callersPort : FreePorts.tcp(),
-              first && operatorsPort > 0 ? operatorsPort : FreePorts.tcp(),
-              FreePorts.udp(),
+              first && callersPort > 0 ? callersPort : FreePorts.next(),
+              first && operatorsPort > 0 ? operatorsPort : FreePorts.next(),
+              FreePorts.next(),
               site.platform().port(),
               extra));
     }
--- a/embedded/src/main/java/dev/cactusstack/embedded/FreePorts.java
+++ b/embedded/src/main/java/dev/cactusstack/embedded/FreePorts.java
@@ -1,38 +1,47 @@
 package dev.cactusstack.embedded;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Finds unused ports on loopback. Stateless. */
+/**
+ * Finds unused ports on loopback, below the range that the system gives to outgoing connections, so
+ * that a port found stays free until it is bound. Thread-safe.
+ */
 public final class FreePorts {
+  private static final int LOWEST = 10_000;
+  private static final int COUNT = 20_000;
+
+  /** Processes start at different places, so that they seldom try the same port. */
+  private static final AtomicInteger NEXT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
+
   private FreePorts() {}
 
   /**
-   * Finds a free TCP port.
+   * Finds a port that is free for both TCP and UDP.
    *
    * @return the port number
    */
-  public static int tcp() {
-    try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+  public static int next() {
+    for (int i = 0; i < COUNT; i++) {
+      int port = LOWEST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+      if (isFree(port)) {
+        return port;
+      }
     }
+    throw new IllegalStateException("no port is free on loopback; stop other processes");
   }
 
-  /**
-   * Finds a free UDP port.
-   *
-   * @return the port number
-   */
-  public static int udp() {
-    try (var s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
+  private static boolean isFree(int port) {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (var tcp = new ServerSocket(port, 1, loopback);
+        var udp = new DatagramSocket(port, loopback)) {
+      return tcp.isBound() && udp.isBound();
     } catch (IOException e) {
-      throw new UncheckedIOException(e);
+      return false;
     }
   }
 }
--- a/embedded/src/test/java/dev/cactusstack/embedded/HostFaultsTest.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/HostFaultsTest.java
@@ -73,9 +73,9 @@
         new HostSpec(
             "late-host",
             "almaty-1",
-            FreePorts.tcp(),
-            FreePorts.tcp(),
-            FreePorts.udp(),
+            FreePorts.next(),
+            FreePorts.next(),
+            FreePorts.next(),
             test.site.platform().port(),
             "");
     EntryHost late =
@@ -96,7 +96,7 @@
   void shouldSayThatItHasNoConfigurationWhenItStartsFromNothing() throws Exception {
     var spec =
         new HostSpec(
-            "lone-host", "almaty-1", FreePorts.tcp(), FreePorts.tcp(), FreePorts.udp(), 1, "");
+            "lone-host", "almaty-1", FreePorts.next(), FreePorts.next(), FreePorts.next(), 1, "");
     EntryHost lone =
         EntryHost.start(
             spec.settings(Map.of()),
--- a/host/src/main/java/dev/cactusstack/host/BudgetedSender.java
+++ b/host/src/main/java/dev/cactusstack/host/BudgetedSender.java
@@ -6,6 +6,8 @@
 import dev.cactusstack.link.LinkMessage;
 import dev.cactusstack.link.LinkTransport;
 import dev.cactusstack.model.Address;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Predicate;
 
 /** Sends messages while the budget for control traffic allows; drops the others. Thread-safe. */
 final class BudgetedSender implements LinkSender {
@@ -13,14 +15,30 @@
   private final SpendingLimit budget;
   private final Ticker ticker;
 
-  BudgetedSender(LinkTransport transport, SpendingLimit budget, Ticker ticker) {
+  private final Predicate<Address> crossesDataCentres;
+  private final LongAdder crossBytes = new LongAdder();
+
+  BudgetedSender(
+      LinkTransport transport,
+      SpendingLimit budget,
+      Ticker ticker,
+      Predicate<Address> crossesDataCentres) {
+    this.crossesDataCentres = crossesDataCentres;
     this.transport = transport;
     this.budget = budget;
     this.ticker = ticker;
   }
 
+  /** Bytes sent to hosts of other data centres since the start. */
+  long crossBytes() {
+    return crossBytes.sum();
+  }
+
   @Override
   public void send(Address to, LinkMessage m) {
-    transport.send(to, m, bytes -> budget.spend(bytes, ticker.millis()));
+    int sent = transport.send(to, m, bytes -> budget.spend(bytes, ticker.millis()));
+    if (crossesDataCentres.test(to)) {
+      crossBytes.add(sent);
+    }
   }
 }
--- a/host/src/main/java/dev/cactusstack/host/EntryHost.java
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -37,6 +37,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -58,6 +59,9 @@
   private final XnioWorker worker;
   private final ControlLoop loop;
   private final LinkTransport transport;
+  private final SpendingLimit budget;
+  private final BudgetedSender sender;
+  private volatile @Nullable Controllers running;
   private final Controllers controllers;
   private final CallersServer callers;
   private final OperatorsServer operators;
@@ -79,12 +83,12 @@
     var receiver = new LateReceiver();
     transport = LinkTransport.open(new LinkCodec(keys), settings.link().address(), receiver);
     Member self = self(settings, clock.millis());
-    var budget =
+    budget =
         new SpendingLimit(
             settings.link().bytesPerSecond(),
             (double) settings.link().bytesPerSecond() * LINK_BURST_SECONDS,
             ticker.millis());
-    var sender = new BudgetedSender(transport, budget, ticker);
+    sender = new BudgetedSender(transport, budget, ticker, this::isElsewhere);
     var members = new MembershipController(self, sender, ticker, new Random(clock.millis()));
     var configuration =
         new ConfigurationController(
@@ -102,6 +106,7 @@
             ticker);
     var rates = new RatesController(callers.arrivals(), members, ticker);
     controllers = new Controllers(loop, members, configuration, upstreams, rates);
+    running = controllers;
     receiver.open(controllers);
     operators =
         new OperatorsServer(
@@ -110,10 +115,10 @@
             new OperatorsView(settings.id(), configuration, members, upstreams, ticker),
             new EditService(platform, configuration),
             metrics);
-    addGauges(metrics, budget);
+    addGauges(metrics);
   }
 
-  private void addGauges(Metrics metrics, SpendingLimit budget) {
+  private void addGauges(Metrics metrics) {
     metrics.gauge(
         "cactusstack.link.sent.bytes", "Bytes sent to other hosts", transport, t -> t.sentBytes());
     metrics.gauge(
@@ -227,6 +232,34 @@
     return transport.sentBytes();
   }
 
+  /**
+   * Returns the bytes sent to hosts of other data centres since the start.
+   *
+   * @return the count
+   */
+  public long crossDataCentreBytes() {
+    return sender.crossBytes();
+  }
+
+  /**
+   * Returns how many messages to other hosts were not sent because the budget was spent.
+   *
+   * @return the count
+   */
+  public long linkRefused() {
+    return budget.refused();
+  }
+
+  private boolean isElsewhere(Address link) {
+    Controllers c = running;
+    return c != null
+        && c.members().members().values().stream()
+            .anyMatch(
+                m ->
+                    m.info().link().equals(link)
+                        && !m.info().dataCentre().equals(settings.dataCentre()));
+  }
+
   /**
    * Waits until the host has configuration and an owner for some route.
    *
--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -35,7 +35,7 @@
   private static final int READERS_PER_DATA_CENTRE = 2;
 
   /** Every host reads this much less often than a reader, in case the readers are cut off. */
-  private static final int BACKSTOP_FACTOR = 20;
+  private static final int BACKSTOP_FACTOR = 10;
 
   private static final int ROWS_PER_PAGE = 8;
   private static final long PULL_TIMEOUT_MS = 200;
--- a/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
@@ -23,12 +23,14 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** Keeps the members of the group. Confined to the control loop, except {@link #members}. */
 public final class MembershipController {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final int MAX_RATES = 16;
   private static final double RATE_CHANGE = 0.25;
+  private static final double NOISE_DEVIATIONS = 3;
 
   private final Membership membership;
   private final LinkSender sender;
@@ -113,8 +115,13 @@
         || now.stream().anyMatch(r -> moved(old.get(r.service().value()), r.perSecond()));
   }
 
-  private static boolean moved(@org.jspecify.annotations.Nullable Float before, float now) {
-    return before == null || Math.abs(now - before) > RATE_CHANGE * Math.max(1f, before);
+  /** A change counts when it is larger than a quarter and than the noise of random arrivals. */
+  private static boolean moved(@Nullable Float before, float now) {
+    if (before == null) {
+      return now > 0;
+    }
+    double noise = NOISE_DEVIATIONS * Math.sqrt(Math.max(1, before));
+    return Math.abs(now - before) > Math.max(noise, RATE_CHANGE * before);
   }
 
   private void announce(MemberInfo info) {
--- a/link/src/main/java/dev/cactusstack/link/LinkTransport.java
+++ b/link/src/main/java/dev/cactusstack/link/LinkTransport.java
@@ -68,16 +68,18 @@
    * @param to the receiver
    * @param m the message
    * @param allowed decides on the size in bytes, with network headers
+   * @return the bytes sent, 0 when not allowed
    */
-  public void send(Address to, LinkMessage m, IntPredicate allowed) {
+  public int send(Address to, LinkMessage m, IntPredicate allowed) {
     byte[] bytes = codec.encode(m);
     if (!allowed.test(bytes.length + HEADER_BYTES)) {
-      return;
+      return 0;
     }
     sentBytes.add(bytes.length + HEADER_BYTES);
     channel.writeAndFlush(
         new DatagramPacket(
             Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
+    return bytes.length + HEADER_BYTES;
   }
 
   /**
--- a/settings/src/main/java/dev/cactusstack/settings/PlatformSettings.java
+++ b/settings/src/main/java/dev/cactusstack/settings/PlatformSettings.java
@@ -22,7 +22,7 @@
         new PlatformSettings(
             s.address("address", "127.0.0.1:9000"),
             (int) s.integer("timeout_ms", 1_000, 50, 60_000),
-            (int) s.integer("read_interval_ms", 500, 100, 60_000));
+            (int) s.integer("read_interval_ms", 1_000, 100, 60_000));
     s.finish();
     return settings;
   }
--- a/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
@@ -16,6 +16,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.xnio.IoUtils;
 
 /**
@@ -29,12 +30,17 @@
 public final class PlatformStandIn implements AutoCloseable {
   private static final int IO_THREADS = 1;
   private static final int WORKER_THREADS = 8;
+
+  /** Heads of a request and its answer, and the packets that open and close a connection. */
+  private static final int HEAD_BYTES = 800;
+
   private static final String HOSTS_PATH = "/v1/hosts/";
   private static final String OBJECTS_PATH = "/v1/objects/";
 
   private final TableState table = new TableState();
   private final HostRegister hosts = new HostRegister();
   private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private final LongAdder bytes = new LongAdder();
   private volatile PlatformFaults faults = PlatformFaults.NONE;
   private final Undertow server;
 
@@ -216,9 +222,20 @@
     reply(x, 200, Json.object());
   }
 
-  private static void reply(HttpServerExchange x, int status, JsonNode content) {
+  /**
+   * Returns the bytes of answers since the start, without their heads.
+   *
+   * @return the count
+   */
+  public long bytes() {
+    return bytes.sum();
+  }
+
+  private void reply(HttpServerExchange x, int status, JsonNode content) {
+    byte[] body = Json.bytes(content);
+    bytes.add(body.length + HEAD_BYTES);
     x.setStatusCode(status);
     x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-    x.getResponseSender().send(ByteBuffer.wrap(Json.bytes(content)));
+    x.getResponseSender().send(ByteBuffer.wrap(body));
   }
 }
