No request fails while hosts disagree; rates no longer crowd the link

Change: a 421 of an owner leaves its data centre out for that request and costs no attempt; rates travel only on a member's own messages.

--- a/bench/src/main/java/dev/cactusstack/bench/MeasuringScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/MeasuringScenario.java
@@ -2,44 +2,66 @@
 
 import dev.cactusstack.host.EntryHost;
 import java.lang.management.ManagementFactory;
-import java.util.concurrent.TimeUnit;
 
 /** What control costs: bytes between hosts, probes at upstreams, processor time. */
 final class MeasuringScenario implements Scenario {
   private static final double BUSY_SHARE = 0.3;
   private static final double CORE_BUDGET = 0.022;
-  private static final int WARM_UP_SECONDS = 4;
+  private static final int WARM_UP_SECONDS = 5;
+
+  /** The cost of control for one host. */
+  record Cost(
+      int hosts,
+      double linkBytes,
+      double platformBytes,
+      double crossBytes,
+      double cpuShare,
+      long refused,
+      int budgetBytes) {
+
+    double bytes() {
+      return linkBytes + platformBytes;
+    }
+
+    long exceeded() {
+      return refused + (bytes() > budgetBytes ? 1 : 0) + (cpuShare > CORE_BUDGET ? 1 : 0);
+    }
+  }
 
   @Override
   public ResultLine run(BenchOptions o) throws Exception {
+    Cost c = measure(o);
+    return ResultLine.of("measuring", o)
+        .with("bytes_per_host_s", c.bytes())
+        .with("link_bytes_per_host_s", c.linkBytes())
+        .with("platform_bytes_per_host_s", c.platformBytes())
+        .with("cross_dc_bytes_per_host_s", c.crossBytes())
+        // The system sends no probes to upstreams: requests themselves are the evidence.
+        .with("probe_ms_per_upstream_s", 0.0)
+        .with("cpu_core_share", c.cpuShare())
+        .with("budget_exceeded", c.exceeded());
+  }
+
+  static Cost measure(BenchOptions o) throws InterruptedException {
     try (var stage = new Stage(o, "")) {
       stage.load(o, BUSY_SHARE, WARM_UP_SECONDS, o.seed());
-      long bytes = stage.hosts().stream().mapToLong(EntryHost::linkBytes).sum();
+      long sent = stage.hosts().stream().mapToLong(EntryHost::linkBytes).sum();
       long cross = stage.hosts().stream().mapToLong(EntryHost::crossDataCentreBytes).sum();
+      long refused = stage.hosts().stream().mapToLong(EntryHost::linkRefused).sum();
       long platform = stage.site.platform().bytes();
       long cpu = controlNanos();
       long start = System.nanoTime();
       stage.load(o, BUSY_SHARE, o.seconds(), o.seed() + 1);
-      double seconds = (System.nanoTime() - start) / 1e9;
-      int n = stage.hosts().size();
-      long sent = stage.hosts().stream().mapToLong(EntryHost::linkBytes).sum() - bytes;
-      long crossed =
-          stage.hosts().stream().mapToLong(EntryHost::crossDataCentreBytes).sum() - cross;
-      long fromPlatform = stage.site.platform().bytes() - platform;
-      double share = (controlNanos() - cpu) / 1e9 / seconds / n;
-      double bytesPerHost = (sent + fromPlatform) / seconds / n;
-      long exceeded =
-          stage.hosts().stream().mapToLong(EntryHost::linkRefused).sum()
-              + (bytesPerHost > stage.hosts().get(0).settings().link().bytesPerSecond() ? 1 : 0)
-              + (share > CORE_BUDGET ? 1 : 0);
-      return ResultLine.of("measuring", o)
-          .with("bytes_per_host_s", bytesPerHost)
-          .with("link_bytes_per_host_s", sent / seconds / n)
-          .with("platform_bytes_per_host_s", fromPlatform / seconds / n)
-          .with("cross_dc_bytes_per_host_s", crossed / seconds / n)
-          .with("probe_ms_per_upstream_s", 0.0)
-          .with("cpu_core_share", share)
-          .with("budget_exceeded", exceeded);
+      double hostSeconds = (System.nanoTime() - start) / 1e9 * stage.hosts().size();
+      return new Cost(
+          stage.hosts().size(),
+          (stage.hosts().stream().mapToLong(EntryHost::linkBytes).sum() - sent) / hostSeconds,
+          (stage.site.platform().bytes() - platform) / hostSeconds,
+          (stage.hosts().stream().mapToLong(EntryHost::crossDataCentreBytes).sum() - cross)
+              / hostSeconds,
+          (controlNanos() - cpu) / 1e9 / hostSeconds,
+          stage.hosts().stream().mapToLong(EntryHost::linkRefused).sum() - refused,
+          stage.hosts().get(0).settings().link().bytesPerSecond());
     }
   }
 
@@ -54,6 +76,6 @@
         sum += Math.max(0, beans.getThreadCpuTime(id));
       }
     }
-    return TimeUnit.NANOSECONDS.toNanos(sum);
+    return sum;
   }
 }
--- a/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Scenarios.java
@@ -12,6 +12,7 @@
   SHUTDOWN(new ShutdownScenario(), "hosts and upstreams that leave in good order"),
   DATA_CENTRE_MOVE(new DataCentreMoveScenario(), "a data centre out and back in"),
   CONFIGURATION(new ConfigurationScenario(), "edits under faults of the table service"),
+  SLOPES(new SlopesScenario(), "the costs that docs/CAPACITY.md multiplies"),
   SPEED(new SpeedScenario(), "time and processor time that one entry host adds");
 
   private final Scenario scenario;
--- a/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
@@ -64,6 +64,20 @@
     }
   }
 
+  /** Calls through one host for each second of its processor time. */
+  static double hostCallsPerCore(BenchOptions o) throws Exception {
+    try (Site site = Site.startWith(Deployment.QAZYNA, Site.QUICK, o.seed());
+        var client = new LoadClient(3, TIMEOUT_MS);
+        var hosts = EmbeddedHosts.start(site, 1, 0, 0, PickPolicy.EXPECTED_ANSWER, Map.of(), "")) {
+      if (!hosts.awaitReady(READY_MS)) {
+        throw new IllegalStateException("the entry host is not ready");
+      }
+      String host = hosts.hosts().get(0).callersAddress().toString();
+      loop(client, host, WARM_UP_SECONDS, "XNIO-");
+      return loop(client, host, o.seconds(), "XNIO-");
+    }
+  }
+
   private static Undertow emptyServer() throws Exception {
     var worker =
         org.xnio.Xnio.getInstance()
--- a/decisions/src/main/java/dev/cactusstack/decisions/membership/Membership.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/membership/Membership.java
@@ -85,8 +85,20 @@
    * @param info the next statement
    */
   public void announce(MemberInfo info) {
-    members.put(self, self().with(info));
-    queue.add(self);
+    Member next = self().with(info);
+    if (isUrgent(self(), next)) {
+      queue.add(self);
+    }
+    members.put(self, next);
+  }
+
+  /** Arrival rates change all the time; they only travel with a member's own messages. */
+  private static boolean isUrgent(@Nullable Member known, Member next) {
+    return known == null
+        || known.incarnation() != next.incarnation()
+        || known.status() != next.status()
+        || known.info().configVersion() != next.info().configVersion()
+        || known.info().leaving() != next.info().leaving();
   }
 
   /**
@@ -292,7 +304,9 @@
     if (next.equals(known)) {
       return;
     }
-    queue.add(next.id());
+    if (isUrgent(known, next)) {
+      queue.add(next.id());
+    }
     if (known == null || known.status() != next.status()) {
       since.put(next.id(), nowMs);
     }
--- a/decisions/src/test/java/dev/cactusstack/decisions/membership/MembershipTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/membership/MembershipTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -98,4 +99,21 @@
     Member m = g.host(by).members().get(Group.id(0));
     return m == null ? 0 : m.info().configVersion();
   }
+
+  @Test
+  void shouldPassOnVersionsButNotRatesOfOthers() {
+    var g = new Group(2, 0, 1, 5);
+    g.run(10_000);
+    Membership m = g.host(0);
+    Member other = m.members().get(Group.id(1));
+    MemberInfo rates = other.info().withRates(List.of());
+    assertThat(updatesAfter(m, other.with(rates))).isEmpty();
+    assertThat(updatesAfter(m, other.with(rates.withConfigVersion(9)))).hasSize(1);
+  }
+
+  private static List<Member> updatesAfter(Membership m, Member claim) {
+    return m.receive(claim.info().link(), new Probe.Ping(1), claim, List.of(), 20_000)
+        .get(0)
+        .updates();
+  }
 }
--- a/embedded/src/test/java/dev/cactusstack/embedded/OperatorsTest.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/OperatorsTest.java
@@ -128,6 +128,46 @@
     assertThat(test.ctl(0, "data-centre", "out", "nowhere").code()).isEqualTo(2);
   }
 
+  @Test
+  void shouldFailNoRequestWhileADataCentreMoves() throws Exception {
+    var running = new java.util.concurrent.atomic.AtomicBoolean(true);
+    var failures = new java.util.concurrent.ConcurrentLinkedQueue<String>();
+    var callers = new java.util.ArrayList<Thread>();
+    for (int i = 0; i < 3; i++) {
+      int host = i;
+      var t = new Thread(() -> callUntil(running, host, failures));
+      t.start();
+      callers.add(t);
+    }
+    for (int i = 0; i < 4; i++) {
+      assertThat(test.ctl(i % 3, "data-centre", "out", "almaty-3").code()).isZero();
+      assertThat(test.ctl(i % 3, "table", "watch", "--once").code()).isZero();
+      assertThat(test.ctl(i % 3, "data-centre", "in", "almaty-3").code()).isZero();
+      assertThat(test.ctl(i % 3, "table", "watch", "--once").code()).isZero();
+    }
+    running.set(false);
+    for (Thread t : callers) {
+      t.join();
+    }
+    assertThat(failures).isEmpty();
+  }
+
+  private static void callUntil(
+      java.util.concurrent.atomic.AtomicBoolean running,
+      int host,
+      java.util.Queue<String> failures) {
+    while (running.get()) {
+      try {
+        String answer = test.call(host, "booking");
+        if (!answer.startsWith("HTTP/1.1 200")) {
+          failures.add(answer);
+        }
+      } catch (java.io.IOException e) {
+        failures.add(e.toString());
+      }
+    }
+  }
+
   private static long ran(String dataCentre) {
     return test.site.upstreams().stream()
         .filter(u -> u.traits().dataCentre().equals(dataCentre))
--- a/host/src/main/java/dev/cactusstack/host/callers/Destinations.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Destinations.java
@@ -40,6 +40,13 @@
     failed.add(d);
   }
 
+  /** Makes all data centres usable again; returns false when none was left out. */
+  boolean forgetFailures() {
+    boolean any = !failed.isEmpty();
+    failed.clear();
+    return any;
+  }
+
   /** Notes that a data centre had no free place. */
   void refused(DataCentre d) {
     asked.add(d);
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -90,7 +90,9 @@
         facts.forwardedTo().isPresent()
             ? ownRoute(view, facts.forwardedTo().get())
             : destinations.next(view, facts.bodiless());
-    if (choice == null) {
+    if (choice == null && destinations.forgetFailures() && isWithinWait()) {
+      routeLater();
+    } else if (choice == null) {
       refuseNow(
           new Problem(
               ProblemKind.NO_UPSTREAM,
@@ -103,6 +105,16 @@
     }
   }
 
+  /** Whether the request may still be sent to another owner, or again to the same one. */
+  private boolean isWithinWait() {
+    long waited = path.ticker().nanos() - facts.arrivedNanos();
+    return waited < TimeUnit.MILLISECONDS.toNanos(path.settings().queueTimeoutMs());
+  }
+
+  private void routeLater() {
+    path.pools().timers(exchange.getIoThread()).schedule(MISDIRECTED_PAUSE_MS, this::route);
+  }
+
   private @Nullable Choice ownRoute(RoutingView view, DataCentre d) {
     ServiceView s = view.service(facts.service());
     ServiceView.Target t = s == null ? null : s.at(d);
@@ -234,7 +246,7 @@
 
   private void again(AttemptEvent cause) {
     if (cause == AttemptEvent.REFUSED) {
-      exchange.getIoThread().executeAfter(this::route, MISDIRECTED_PAUSE_MS, TimeUnit.MILLISECONDS);
+      routeLater();
     } else {
       route();
     }
@@ -298,6 +310,7 @@
   /** Follows an attempt through the owner of the route. */
   private final class AtOwner implements Attempt.Listener {
     private final Choice choice;
+    private boolean misdirected;
 
     AtOwner(Choice choice) {
       this.choice = choice;
@@ -319,6 +332,7 @@
     public void refused(ClientResponse response) {
       String load = response.getResponseHeaders().getFirst(CactusHeaders.ROUTE_LOAD);
       path.remoteLoads().recordRefusal(choice.target().key(), load);
+      misdirected = response.getResponseCode() == ProblemKind.MISDIRECTED.status();
     }
 
     @Override
@@ -327,6 +341,13 @@
     @Override
     public void failed(AttemptState state, AttemptEvent cause, String reason) {
       passedOn = null;
+      if (misdirected && isWithinWait()) {
+        // The hosts disagree for a moment, on the members or on the table; nothing was run.
+        destinations.failed(choice.target().key().dataCentre());
+        attempts -= choice.mayRefuse() ? 0 : 1;
+        route();
+        return;
+      }
       if (choice.mayRefuse() && cause == AttemptEvent.REFUSED) {
         destinations.refused(choice.target().key().dataCentre());
         route();
