Begin cold when a route is newly owned or has been quiet

Cause: cold_peak=2 with cold_bears=1 when a data centre came back: its owner still believed the upstreams warm from before they were taken out. Change: what is known of an upstream expires when its route gets a new owner or it has had no request for 10 s.

--- a/decisions/src/main/java/dev/cactusstack/decisions/state/Evidence.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/state/Evidence.java
@@ -33,6 +33,9 @@
   /** The upstream or the host list says that it is leaving. */
   record SaysLeaving() implements Evidence {}
 
+  /** What was known of the upstream may no longer hold, as after a time without requests. */
+  record KnowledgeExpired() implements Evidence {}
+
   /** The host list shows the upstream as live again after it was leaving. */
   record ListedLive() implements Evidence {}
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/state/UpstreamHealth.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/state/UpstreamHealth.java
@@ -68,6 +68,9 @@
     if (e instanceof Evidence.SaysLeaving) {
       return with(UpstreamState.LEAVING, 1);
     }
+    if (e instanceof Evidence.KnowledgeExpired) {
+      return state == UpstreamState.LEAVING ? this : INITIAL;
+    }
     if (e instanceof Evidence.ListedLive) {
       return state == UpstreamState.LEAVING ? INITIAL : this;
     }
--- a/decisions/src/test/java/dev/cactusstack/decisions/state/UpstreamSteps.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/state/UpstreamSteps.java
@@ -46,6 +46,7 @@
       case "lost" -> observe(new Evidence.ConnectionLost());
       case "cold" -> observe(new Evidence.SaysCold());
       case "leaving" -> observe(new Evidence.SaysLeaving());
+      case "expiry" -> observe(new Evidence.KnowledgeExpired());
       case "listed" -> observe(new Evidence.ListedLive());
       default -> throw new IllegalArgumentException(e);
     }
--- a/decisions/src/test/resources/dev/cactusstack/decisions/upstreams.feature
+++ b/decisions/src/test/resources/dev/cactusstack/decisions/upstreams.feature
@@ -23,4 +23,6 @@
       | leaving                          | warm      | leaving                                     | LEAVING     | 0     |
       | leaving stays leaving            | warm      | leaving,warm*9,lost*3                       | LEAVING     | 0     |
       | listed as live again             | warm      | leaving,listed                              | COLD        | 1     |
+      | nothing heard for long           | warm      | expiry                                      | COLD        | 1     |
+      | leaving, nothing heard for long  | warm      | leaving,expiry                              | LEAVING     | 0     |
       | server errors keep the state     | warm      | error*9                                     | WARM        | 4     |
--- a/host/src/main/java/dev/cactusstack/host/callers/Upstream.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Upstream.java
@@ -3,6 +3,7 @@
 import dev.cactusstack.decisions.routing.UpstreamView;
 import dev.cactusstack.decisions.state.Evidence;
 import dev.cactusstack.decisions.state.UpstreamHealth;
+import dev.cactusstack.decisions.state.UpstreamState;
 import dev.cactusstack.model.Address;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -17,6 +18,8 @@
  * Thread-safe without locks.
  */
 public final class Upstream {
+  private static final long KNOWLEDGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final Address address;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final ConcurrentLinkedDeque<Lease> leases = new ConcurrentLinkedDeque<>();
@@ -70,6 +73,19 @@
     health.updateAndGet(h -> Objects.requireNonNull(h).observe(e, nowMs));
   }
 
+  /**
+   * Forgets what is believed of an upstream that has had no request for long: it may have turned
+   * cold meanwhile.
+   *
+   * @param nowNanos the present time
+   */
+  public void expireKnowledge(long nowNanos) {
+    boolean quiet = inFlight.get() == 0 && nowNanos - lastEndNanos > KNOWLEDGE_NANOS;
+    if (quiet && health().state() == UpstreamState.WARM) {
+      observe(new Evidence.KnowledgeExpired(), TimeUnit.NANOSECONDS.toMillis(nowNanos));
+    }
+  }
+
   UpstreamView view(int operatorLimit, long nowNanos) {
     UpstreamHealth h = health();
     long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNanos);
--- a/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/UpstreamsController.java
@@ -105,6 +105,7 @@
     if (!reading && now >= nextReadMs) {
       read(now);
     }
+    upstreams.values().forEach(u -> u.expireKnowledge(ticker.nanos()));
     // A pause after failures ends with time, not with an event.
     schedulers.values().forEach(RouteScheduler::drain);
   }
@@ -182,6 +183,9 @@
           boolean is = RoutingPlan.isLocal(after.owner(key));
           if (was && !is) {
             s.refuseAll(movedAway(key));
+          } else if (!was && is) {
+            // Another host, or nobody, has used the upstreams since this one last did.
+            s.upstreams().forEach(u -> u.observe(new Evidence.KnowledgeExpired(), ticker.millis()));
           }
         });
   }
