Deadlines shrink on the way down, retries are marked, logic that stood twice stands once

Cause: calls go up to 26 deep; retries could multiply over levels and work went on for callers that had stopped waiting. Clean-up: one Stage, one label check, Result.toOptional, AnswerHeads split from Attempt. The new tests found that a silent run held its slot in the stand-in for ever; it now ends unanswered.

--- a/bench/src/main/java/dev/cactusstack/bench/AtMostOnceScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/AtMostOnceScenario.java
@@ -15,7 +15,7 @@
 
 /**
  * Non-idempotent requests, each with an id, while upstreams refuse, fail, go silent and cut answers
- * and two hosts are killed; the stand-ins keep the true count of runs.
+ * and two hosts are killed; the stand-ins keep the true count of runs. Used for one run.
  */
 final class AtMostOnceScenario implements Scenario {
   private static final int MIN_REQUESTS = 100_000;
@@ -36,7 +36,7 @@
 
   @Override
   public ResultLine run(BenchOptions o) throws Exception {
-    try (var stage = new QuickStage(o, SETTINGS)) {
+    try (var stage = Stage.withQuickUpstreams(o, SETTINGS)) {
       int requests = MIN_REQUESTS;
       var running = new boolean[] {true};
       Background<Integer> faults =
@@ -65,7 +65,7 @@
     }
   }
 
-  private void sendAll(QuickStage stage, BenchOptions o, int requests) throws InterruptedException {
+  private void sendAll(Stage stage, BenchOptions o, int requests) throws InterruptedException {
     var places = new Semaphore(CONCURRENT);
     var left = new CountDownLatch(requests);
     List<Service> services = o.deployment().services();
@@ -89,7 +89,7 @@
     left.await(60, TimeUnit.SECONDS);
   }
 
-  private void judge(QuickStage stage, String id, CallResult r) {
+  private void judge(Stage stage, String id, CallResult r) {
     if (r.isOk()) {
       served.incrementAndGet();
       JsonNode n = Json.parse(r.body()).orElse(Json.object());
@@ -106,7 +106,7 @@
   }
 
   /** Gives a random upstream a random fault at a time; kills two hosts on the way. */
-  private static int cause(QuickStage stage, Random random, boolean[] running)
+  private static int cause(Stage stage, Random random, boolean[] running)
       throws InterruptedException {
     List<UpstreamStandIn> ups = stage.site.upstreams();
     int caused = 0;
--- a/bench/src/main/java/dev/cactusstack/bench/Scenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Scenario.java
@@ -1,6 +1,6 @@
 package dev.cactusstack.bench;
 
-/** One experiment. Implementations are stateless. */
+/** One experiment. An implementation is used for one run. */
 interface Scenario {
 
   /** Runs the experiment and returns its last line. */
--- a/bench/src/main/java/dev/cactusstack/bench/Stage.java
+++ b/bench/src/main/java/dev/cactusstack/bench/Stage.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.embedded.Site;
 import dev.cactusstack.host.EntryHost;
 import dev.cactusstack.standin.UpstreamStandIn;
+import dev.cactusstack.standin.UpstreamTraits;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -20,6 +21,7 @@
   private static final long READY_MS = 30_000;
   private static final long CALL_TIMEOUT_MS = 20_000;
   private static final long POLL_MS = 10;
+  private static final double QUICK_SERVICE_MS = 2;
 
   final Site site;
   final EmbeddedHosts embedded;
@@ -27,7 +29,11 @@
   final EntryPolicy callers;
 
   Stage(BenchOptions o, String settings) throws InterruptedException {
-    site = Site.start(o.deployment(), o.scale(), o.seed());
+    this(o, settings, Site.start(o.deployment(), o.scale(), o.seed()));
+  }
+
+  private Stage(BenchOptions o, String settings, Site site) throws InterruptedException {
+    this.site = site;
     embedded =
         EmbeddedHosts.start(
             site,
@@ -46,6 +52,22 @@
             client, embedded.hosts().stream().map(h -> h.callersAddress().toString()).toList());
   }
 
+  /** A stage whose upstreams answer within about two milliseconds, for many requests. */
+  static Stage withQuickUpstreams(BenchOptions o, String settings) throws InterruptedException {
+    return new Stage(o, settings, Site.startWith(o.deployment(), Stage::quick, o.seed()));
+  }
+
+  private static UpstreamTraits quick(UpstreamTraits t) {
+    return new UpstreamTraits(
+        t.service(),
+        t.dataCentre(),
+        t.slots(),
+        QUICK_SERVICE_MS,
+        t.spread(),
+        t.coldBears(),
+        t.warmUpRuns());
+  }
+
   List<EntryHost> hosts() {
     return embedded.hosts();
   }
--- a/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
@@ -79,9 +79,9 @@
   private static CommandEnd unanswered(HttpFailure e) {
     return CommandEnd.failed(
         ExitCode.NOT_ACCEPTED_OR_UNKNOWN,
-        e.maySent() ? "unknown" : "not-accepted",
+        e.mayBeProcessed() ? "unknown" : "not-accepted",
         String.valueOf(e.getMessage()),
-        e.maySent()
+        e.mayBeProcessed()
             ? "repeat the command with --operation and the same id, or look at 'table show' first"
             : "nothing was changed; name other hosts with --operators");
   }
--- a/ctl/src/main/java/dev/cactusstack/ctl/OperatorsApi.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/OperatorsApi.java
@@ -43,7 +43,8 @@
       try {
         return send(HttpCall.get(uri(a, path), READ_TIMEOUT));
       } catch (HttpFailure e) {
-        last = e;
+        // A read changes nothing, whether or not it was received.
+        last = new HttpFailure(false, String.valueOf(e.getMessage()));
       }
     }
     throw last;
@@ -65,7 +66,7 @@
       try {
         return send(HttpCall.json("POST", uri(a, path), Json.bytes(body), EDIT_TIMEOUT));
       } catch (HttpFailure e) {
-        if (e.maySent()) {
+        if (e.mayBeProcessed()) {
           throw e;
         }
         last = e;
--- a/embedded/src/main/java/dev/cactusstack/embedded/EmbeddedMain.java
+++ b/embedded/src/main/java/dev/cactusstack/embedded/EmbeddedMain.java
@@ -20,9 +20,6 @@
   private static final long READY_TIMEOUT_MS = 15_000;
   private static final long SEED = 1;
 
-  /** Callers of the embedded site look up often, so that it stops quickly. */
-  private static final String EXTRA = "";
-
   private EmbeddedMain() {}
 
   /**
@@ -74,7 +71,7 @@
             operatorsPort,
             PickPolicy.EXPECTED_ANSWER,
             System.getenv(),
-            EXTRA);
+            "");
     ShutdownSignals.install(embedded.hosts());
     boolean ready = embedded.awaitReady(READY_TIMEOUT_MS);
     EntryHost first = embedded.hosts().get(0);
--- a/embedded/src/test/java/dev/cactusstack/embedded/CallersPortTest.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/CallersPortTest.java
@@ -140,6 +140,30 @@
     assertThat(test.site.runs().count("silent-1")).isEqualTo(1);
   }
 
+  @Test
+  void shouldPassOnAShrunkDeadlineAndGiveUpWhenItHasPassed() throws IOException {
+    String head =
+        "GET /x HTTP/1.1\r\nHost: search\r\nConnection: close\r\nCactusstack-Deadline-Ms: ";
+    String answer = test.raw(0, head + "2500\r\n\r\n");
+    int left = Integer.parseInt(answer.replaceAll("(?s).*\"deadline_ms\":\"(\\d+)\".*", "$1"));
+    assertThat(left).isBetween(1, 2_500);
+    assertThat(test.raw(0, head + "0\r\n\r\n")).contains("deadline-passed").contains("not-run");
+  }
+
+  @Test
+  void shouldTryOnceWhenTheRequestIsMarkedAsRepeated() throws IOException {
+    all(new UpstreamCondition(1, false, false, false, true, false, false));
+    String head = "GET /x HTTP/1.1\r\nHost: booking\r\nConnection: close\r\nX-Request-Id: ";
+    assertThat(test.raw(0, head + "first-1\r\n\r\n")).contains("unknown");
+    assertThat(test.raw(0, head + "repeated-1\r\nCactusstack-Retry: 1\r\n\r\n"))
+        .contains("unknown");
+    assertThat(test.site.runs().count("first-1")).isGreaterThan(1);
+    assertThat(test.site.runs().count("repeated-1")).isEqualTo(1);
+    heal();
+    assertThat(test.raw(0, head + "repeated-2\r\nCactusstack-Retry: 1\r\n\r\n"))
+        .contains("\"retry\":true");
+  }
+
   @Test
   void shouldRemoveHopByHopFieldsAndTheSystemsOwn() throws IOException {
     String answer =
--- a/embedded/src/test/java/dev/cactusstack/embedded/TestSite.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/TestSite.java
@@ -49,16 +49,6 @@
     return embedded.hosts().get(i);
   }
 
-  URI uri(int host, String path) {
-    return URI.create("http://" + host(host).callersAddress() + path);
-  }
-
-  HttpResponse<String> get(int host, String path) throws IOException, InterruptedException {
-    return client.send(
-        HttpRequest.newBuilder(uri(host, path)).timeout(Duration.ofSeconds(30)).build(),
-        HttpResponse.BodyHandlers.ofString());
-  }
-
   /** Sends bytes over a new connection, ends the sending side, and returns all that comes back. */
   String raw(int host, String... parts) throws IOException {
     try (var socket = new Socket("127.0.0.1", host(host).callersAddress().port())) {
--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -12,9 +12,6 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.Methods;
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListener;
@@ -33,9 +30,6 @@
  * thread.
  */
 final class Attempt {
-  private static final int NO_CONTENT = 204;
-  private static final int NOT_MODIFIED = 304;
-
   private final HttpServerExchange exchange;
   private final XnioIoThread thread;
   private final ConnectionPools pools;
@@ -252,15 +246,14 @@
     }
     progressNanos = ticker.nanos();
     ClientResponse response = x.getResponse();
-    if (CactusHeaders.OUTCOME_NOT_RUN.equals(
-        response.getResponseHeaders().getFirst(CactusHeaders.OUTCOME))) {
+    if (AnswerHeads.saysNotRun(response)) {
       listener.refused(response);
-      fail(AttemptEvent.REFUSED, new IOException(refusal(response)));
+      fail(AttemptEvent.REFUSED, new IOException(AnswerHeads.refusal(response)));
       return;
     }
-    String unframed = framingFault(response);
-    if (!unframed.isEmpty()) {
-      fail(AttemptEvent.CONNECTION_LOST, new IOException(unframed));
+    String fault = AnswerHeads.framingFault(request.getMethod(), response);
+    if (!fault.isEmpty()) {
+      fail(AttemptEvent.CONNECTION_LOST, new IOException(fault));
       return;
     }
     state = state.after(AttemptEvent.ANSWER_STARTED);
@@ -303,26 +296,6 @@
     }
   }
 
-  private static String refusal(ClientResponse r) {
-    return "it answered " + r.getResponseCode() + " and said that it did not run the request";
-  }
-
-  /** An answer whose end cannot be told from a cut is not passed on (RFC 9112, section 8). */
-  private String framingFault(ClientResponse response) {
-    HeaderMap h = response.getResponseHeaders();
-    int code = response.getResponseCode();
-    boolean bodiless =
-        request.getMethod().equals(Methods.HEAD) || code == NO_CONTENT || code == NOT_MODIFIED;
-    if (h.contains(Headers.CONTENT_LENGTH) && h.contains(Headers.TRANSFER_ENCODING)) {
-      return "its answer has both a length and a transfer encoding";
-    }
-    if (h.contains(Headers.CONTENT_LENGTH) && h.count(Headers.CONTENT_LENGTH) > 1) {
-      return "its answer has several lengths";
-    }
-    boolean framed = h.contains(Headers.CONTENT_LENGTH) || h.contains(Headers.TRANSFER_ENCODING);
-    return bodiless || framed ? "" : "its answer has neither a length nor chunks";
-  }
-
   private void finishAnswer(StreamSinkChannel sink) {
     if (ended) {
       return;
--- a/host/src/main/java/dev/cactusstack/host/callers/CactusHeaders.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/CactusHeaders.java
@@ -18,6 +18,12 @@
   /** On a request that was passed on: answer at once rather than let it wait. */
   static final HttpString MAY_REFUSE = new HttpString("Cactusstack-May-Refuse");
 
+  /** How long the caller still waits, in milliseconds; shrinks on the way down. */
+  static final HttpString DEADLINE = new HttpString("Cactusstack-Deadline-Ms");
+
+  /** Marks a repeated request, so that hosts further down do not repeat it again. */
+  static final HttpString RETRY = new HttpString("Cactusstack-Retry");
+
   static final HttpString DATA_CENTRE = new HttpString("Cactusstack-Data-Centre");
   static final HttpString FORWARDED_FOR = new HttpString("X-Forwarded-For");
   static final String OUTCOME_NOT_RUN = Outcome.NOT_RUN.label();
--- a/host/src/main/java/dev/cactusstack/host/callers/ConnectionPools.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/ConnectionPools.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
@@ -102,7 +103,16 @@
     ThreadPool(XnioIoThread thread) {
       this.thread = thread;
       this.timers = new TimerWheel(thread);
-      thread.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+      sweepLater();
+    }
+
+    private void sweepLater() {
+      try {
+        thread.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+      } catch (RejectedExecutionException e) {
+        // The thread is shutting down, and closes its connections itself.
+        idle.clear();
+      }
     }
 
     @Nullable ClientConnection take(Address to, Freshness freshness) {
@@ -140,7 +150,7 @@
       long now = ticker.nanos();
       idle.values().forEach(list -> expire(list, now));
       idle.values().removeIf(ArrayDeque::isEmpty);
-      thread.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+      sweepLater();
     }
 
     private void expire(ArrayDeque<Idle> list, long now) {
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestHeads.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestHeads.java
@@ -1,6 +1,5 @@
 package dev.cactusstack.host.callers;
 
-import dev.cactusstack.model.Address;
 import dev.cactusstack.model.DataCentre;
 import io.undertow.client.ClientRequest;
 import io.undertow.server.HttpServerExchange;
@@ -12,10 +11,18 @@
 final class RequestHeads {
   private static final String VIA = "1.1 cactusstack";
 
+  /**
+   * What changes from attempt to attempt.
+   *
+   * @param repeated whether this is not the first attempt, here or further up
+   * @param leftMs how long the caller still waits
+   */
+  record Passage(boolean repeated, long leftMs) {}
+
   private RequestHeads() {}
 
-  static ClientRequest toUpstream(HttpServerExchange x, RequestFacts facts, Address to) {
-    ClientRequest r = head(x, facts);
+  static ClientRequest toUpstream(HttpServerExchange x, RequestFacts facts, Passage p) {
+    ClientRequest r = head(x, facts, p);
     if (facts.forwardedTo().isEmpty()) {
       addCaller(x, r.getRequestHeaders());
     }
@@ -25,10 +32,11 @@
   static ClientRequest toOwner(
       HttpServerExchange x,
       RequestFacts facts,
+      Passage p,
       DataCentre dataCentre,
       String token,
       boolean mayRefuse) {
-    ClientRequest r = head(x, facts);
+    ClientRequest r = head(x, facts, p);
     addCaller(x, r.getRequestHeaders());
     r.getRequestHeaders().put(CactusHeaders.FORWARDED, token);
     r.getRequestHeaders().put(CactusHeaders.DATA_CENTRE, dataCentre.value());
@@ -38,7 +46,7 @@
     return r;
   }
 
-  private static ClientRequest head(HttpServerExchange x, RequestFacts facts) {
+  private static ClientRequest head(HttpServerExchange x, RequestFacts facts, Passage p) {
     var r = new ClientRequest();
     r.setMethod(x.getRequestMethod());
     r.setProtocol(Protocols.HTTP_1_1);
@@ -52,6 +60,12 @@
       to.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
     }
     to.add(Headers.VIA, VIA);
+    if (p.repeated()) {
+      to.put(CactusHeaders.RETRY, "1");
+    }
+    if (facts.deadlineNanos() != RequestFacts.NO_DEADLINE) {
+      to.put(CactusHeaders.DEADLINE, Long.toString(p.leftMs()));
+    }
     return r;
   }
 
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.retries.RequestTraits;
 import dev.cactusstack.host.callers.ConnectionPools.Freshness;
 import dev.cactusstack.host.callers.Destinations.Choice;
+import dev.cactusstack.host.callers.RequestHeads.Passage;
 import dev.cactusstack.host.observe.ServiceMetrics;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.DataCentre;
@@ -85,6 +86,14 @@
     if (ended) {
       return;
     }
+    if (leftMs() == 0) {
+      refuseNow(
+          new Problem(
+              ProblemKind.DEADLINE_PASSED,
+              "the caller's deadline has passed",
+              "allow more time in Cactusstack-Deadline-Ms, or send less at once"));
+      return;
+    }
     RoutingView view = path.view().get();
     Choice choice =
         facts.forwardedTo().isPresent()
@@ -105,6 +114,15 @@
     }
   }
 
+  /** How long the caller still waits, at most the time limit of an answer. */
+  private long leftMs() {
+    return facts.leftMs(path.ticker().nanos(), path.settings().answerTimeoutMs());
+  }
+
+  private Passage passage() {
+    return new Passage(facts.repeated() || attempts > 1, leftMs());
+  }
+
   /** Whether the request may still be sent to another owner, or again to the same one. */
   private boolean isWithinWait() {
     long waited = path.ticker().nanos() - facts.arrivedNanos();
@@ -149,7 +167,7 @@
   }
 
   private void waitFor(RouteKey key, RouteScheduler scheduler) {
-    long timeoutMs = path.settings().queueTimeoutMs();
+    long timeoutMs = Math.min(path.settings().queueTimeoutMs(), leftMs());
     wait =
         new LeaseWait(
             exchange.getIoThread(), avoided, lease -> run(key, scheduler, lease), this::waitEnded);
@@ -182,7 +200,9 @@
       return;
     }
     attempts++;
-    race = new UpstreamRace(exchange, facts, path, scheduler, new RaceEnd(key, scheduler));
+    race =
+        new UpstreamRace(
+            exchange, facts, path, scheduler, this::passage, new RaceEnd(key, scheduler));
     race.start(lease);
   }
 
@@ -193,6 +213,7 @@
         RequestHeads.toOwner(
             exchange,
             facts,
+            passage(),
             choice.target().key().dataCentre(),
             path.token().issue(),
             choice.mayRefuse());
@@ -203,7 +224,7 @@
             path.ticker(),
             hop.callers(),
             r,
-            path.settings().answerTimeoutMs(),
+            (int) Math.max(1, leftMs()),
             new AtOwner(choice));
     passedOn = attempt;
     attempt.start(facts.idempotent() ? Freshness.ANY : Freshness.PROVED);
@@ -222,6 +243,7 @@
     everPossiblyRun |= !state.provesNotRun();
     boolean left =
         attempts < path.settings().attempts()
+            && !facts.repeated()
             && !exchange.isResponseStarted()
             && path.retries().withdraw();
     var traits = new RequestTraits(facts.idempotent(), isBodyUntouched(), left, !everPossiblyRun);
--- a/host/src/main/java/dev/cactusstack/host/callers/ServiceFilter.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/ServiceFilter.java
@@ -8,6 +8,7 @@
 import dev.cactusstack.model.ServiceName;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -15,6 +16,9 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /** Finds out which service a request is for, and runs it. Thread-safe. */
 final class ServiceFilter implements HttpHandler {
@@ -23,6 +27,8 @@
       Set.of(
           Methods.GET, Methods.HEAD, Methods.OPTIONS, Methods.TRACE, Methods.PUT, Methods.DELETE);
 
+  private static final Pattern DEADLINE_FORM = Pattern.compile("[0-9]{1,9}");
+
   private final DataPath path;
 
   ServiceFilter(DataPath path) {
@@ -67,17 +73,34 @@
   }
 
   private Result<RequestFacts> facts(HttpServerExchange x, ServiceName s, long arrived) {
-    boolean idempotent = IDEMPOTENT.contains(x.getRequestMethod());
-    boolean bodiless = x.isRequestComplete();
     String token = x.getRequestHeaders().getFirst(CactusHeaders.FORWARDED);
     if (token == null || !path.token().verify(token)) {
       path.arrivals().count(s);
-      return Result.success(
-          new RequestFacts(s, idempotent, bodiless, Optional.empty(), false, arrived));
+      return Result.success(facts(x, s, arrived, Optional.empty()));
+    }
+    return ownedDataCentre(x, s).map(d -> facts(x, s, arrived, Optional.of(d)));
+  }
+
+  private static RequestFacts facts(
+      HttpServerExchange x, ServiceName s, long arrived, Optional<DataCentre> forwardedTo) {
+    HeaderMap h = x.getRequestHeaders();
+    return new RequestFacts(
+        s,
+        IDEMPOTENT.contains(x.getRequestMethod()),
+        x.isRequestComplete(),
+        forwardedTo,
+        forwardedTo.isPresent() && h.contains(CactusHeaders.MAY_REFUSE),
+        h.contains(CactusHeaders.RETRY),
+        arrived,
+        deadline(h.getFirst(CactusHeaders.DEADLINE), arrived));
+  }
+
+  /** A deadline that cannot be read counts as none. */
+  private static long deadline(@Nullable String ms, long arrived) {
+    if (ms == null || !DEADLINE_FORM.matcher(ms).matches()) {
+      return RequestFacts.NO_DEADLINE;
     }
-    boolean mayRefuse = x.getRequestHeaders().contains(CactusHeaders.MAY_REFUSE);
-    return ownedDataCentre(x, s)
-        .map(d -> new RequestFacts(s, idempotent, bodiless, Optional.of(d), mayRefuse, arrived));
+    return arrived + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(ms));
   }
 
   /** A request that was passed on is accepted only by the owner of its route. */
--- a/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/UpstreamRace.java
@@ -4,12 +4,14 @@
 import dev.cactusstack.decisions.retries.AttemptState;
 import dev.cactusstack.decisions.state.Evidence;
 import dev.cactusstack.host.callers.ConnectionPools.Freshness;
+import dev.cactusstack.host.callers.RequestHeads.Passage;
 import dev.cactusstack.model.Address;
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,6 +34,7 @@
   private final RequestFacts facts;
   private final DataPath path;
   private final RouteScheduler scheduler;
+  private final Supplier<Passage> passage;
   private final End end;
   private final List<Runner> running = new ArrayList<>(2);
   private TimerWheel.@Nullable Timer timer;
@@ -52,11 +55,13 @@
       RequestFacts facts,
       DataPath path,
       RouteScheduler scheduler,
+      Supplier<Passage> passage,
       End end) {
     this.exchange = exchange;
     this.facts = facts;
     this.path = path;
     this.scheduler = scheduler;
+    this.passage = passage;
     this.end = end;
   }
 
@@ -119,14 +124,15 @@
     Runner(Lease lease) {
       this.lease = lease;
       Address to = lease.upstream().address();
+      Passage p = passage.get();
       this.attempt =
           new Attempt(
               exchange,
               path.pools(),
               path.ticker(),
               to,
-              RequestHeads.toUpstream(exchange, facts, to),
-              path.settings().answerTimeoutMs(),
+              RequestHeads.toUpstream(exchange, facts, p),
+              (int) Math.max(1, p.leftMs()),
               this);
     }
 
--- a/host/src/main/java/dev/cactusstack/host/control/EditService.java
+++ b/host/src/main/java/dev/cactusstack/host/control/EditService.java
@@ -136,7 +136,7 @@
     }
 
     private CompletableFuture<EditOutcome> failed(Plan.Step.Commit c, HttpFailure f, int tries) {
-      if (f.maySent()) {
+      if (f.mayBeProcessed()) {
         lost = c;
       }
       return again(tries, f);
--- a/http/src/main/java/dev/cactusstack/http/HttpCaller.java
+++ b/http/src/main/java/dev/cactusstack/http/HttpCaller.java
@@ -116,8 +116,8 @@
                   + " "
                   + call.uri()
                   + " failed: "
-                  + e.getMessage()
-                  + "; check the address and that the server runs"));
+                  + (e.getMessage() == null ? "the connection was closed" : e.getMessage())
+                  + "; check the address, that the server runs, and whether it uses TLS"));
     }
 
     private void timedOut() {
--- a/http/src/main/java/dev/cactusstack/http/HttpFailure.java
+++ b/http/src/main/java/dev/cactusstack/http/HttpFailure.java
@@ -24,7 +24,7 @@
    *
    * @return false only when no part of the request was sent
    */
-  public boolean maySent() {
+  public boolean mayBeProcessed() {
     return sent;
   }
 
--- a/link/src/main/java/dev/cactusstack/link/MemberCodec.java
+++ b/link/src/main/java/dev/cactusstack/link/MemberCodec.java
@@ -10,7 +10,6 @@
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.DataCentre;
 import dev.cactusstack.model.HostId;
-import dev.cactusstack.model.Result;
 import dev.cactusstack.model.ServiceName;
 import java.util.List;
 import java.util.Optional;
@@ -50,11 +49,11 @@
   }
 
   static Optional<Member> decode(MemberState s) {
-    Optional<HostId> id = value(HostId.parse(s.getId()));
-    Optional<DataCentre> dataCentre = value(DataCentre.parse(s.getDataCentre()));
-    Optional<Address> link = value(Address.parse(s.getLink()));
-    Optional<Address> callers = value(Address.parse(s.getCallers()));
-    Optional<Address> operators = value(Address.parse(s.getOperators()));
+    Optional<HostId> id = HostId.parse(s.getId()).toOptional();
+    Optional<DataCentre> dataCentre = DataCentre.parse(s.getDataCentre()).toOptional();
+    Optional<Address> link = Address.parse(s.getLink()).toOptional();
+    Optional<Address> callers = Address.parse(s.getCallers()).toOptional();
+    Optional<Address> operators = Address.parse(s.getOperators()).toOptional();
     Optional<MemberStatus> status = status(s.getStatus());
     if (id.isEmpty()
         || dataCentre.isEmpty()
@@ -91,12 +90,8 @@
         .filter(r -> Float.isFinite(r.getPerSecond()) && r.getPerSecond() >= 0)
         .flatMap(
             r ->
-                value(ServiceName.parse(r.getService())).stream()
+                ServiceName.parse(r.getService()).toOptional().stream()
                     .map(s -> new ServiceRate(s, r.getPerSecond())))
         .toList();
   }
-
-  private static <T> Optional<T> value(Result<T> r) {
-    return r.fold(p -> Optional.empty(), Optional::of);
-  }
 }
--- a/link/src/main/java/dev/cactusstack/link/TableCodec.java
+++ b/link/src/main/java/dev/cactusstack/link/TableCodec.java
@@ -3,7 +3,6 @@
 import dev.cactusstack.link.generated.DataCentreRow;
 import dev.cactusstack.link.generated.RouteRow;
 import dev.cactusstack.model.DataCentre;
-import dev.cactusstack.model.Result;
 import dev.cactusstack.model.Route;
 import dev.cactusstack.model.RouteColumn;
 import dev.cactusstack.model.RouteKey;
@@ -67,8 +66,9 @@
     if (!inRange) {
       return Optional.empty();
     }
-    return value(ServiceName.parse(r.getService()))
-        .flatMap(s -> value(DataCentre.parse(r.getDataCentre())).map(d -> new RouteKey(s, d)))
+    return ServiceName.parse(r.getService())
+        .toOptional()
+        .flatMap(s -> DataCentre.parse(r.getDataCentre()).toOptional().map(d -> new RouteKey(s, d)))
         .map(
             k ->
                 new Route(
@@ -81,18 +81,15 @@
   }
 
   private static boolean isValid(RouteColumn column, int v) {
-    return value(column.parse(Integer.toString(v))).isPresent();
+    return column.parse(Integer.toString(v)).toOptional().isPresent();
   }
 
   private static Optional<dev.cactusstack.model.DataCentreRow> dataCentre(DataCentreRow d) {
-    return value(DataCentre.parse(d.getDataCentre()))
+    return DataCentre.parse(d.getDataCentre())
+        .toOptional()
         .map(
             x ->
                 new dev.cactusstack.model.DataCentreRow(
                     x, d.getOut(), d.getVersion(), d.getOperationsList()));
   }
-
-  private static <T> Optional<T> value(Result<T> r) {
-    return r.fold(p -> Optional.empty(), Optional::of);
-  }
 }
--- a/model/src/main/java/dev/cactusstack/model/DataCentre.java
+++ b/model/src/main/java/dev/cactusstack/model/DataCentre.java
@@ -1,7 +1,5 @@
 package dev.cactusstack.model;
 
-import java.util.Objects;
-
 /**
  * The name of a data centre: a lower-case DNS label.
  *
@@ -13,10 +11,7 @@
 
   /** Checks the label. */
   public DataCentre {
-    Objects.requireNonNull(value, "value is null");
-    if (!ServiceName.LABEL.matcher(value).matches()) {
-      throw new IllegalArgumentException("not a data centre name: " + value);
-    }
+    Labels.require(value, "data centre name");
   }
 
   /**
@@ -26,14 +21,7 @@
    * @return the name, or an invalid-input problem
    */
   public static Result<DataCentre> parse(String text) {
-    Objects.requireNonNull(text, "text is null");
-    if (!ServiceName.LABEL.matcher(text).matches()) {
-      return Result.failure(
-          Problem.invalid(
-              "'" + text + "' is not a data centre name",
-              "use 1 to 63 lower-case letters, digits and inner hyphens"));
-    }
-    return Result.success(new DataCentre(text));
+    return Labels.parse(text, "data centre name", DataCentre::new);
   }
 
   @Override
--- a/model/src/main/java/dev/cactusstack/model/HostId.java
+++ b/model/src/main/java/dev/cactusstack/model/HostId.java
@@ -1,7 +1,5 @@
 package dev.cactusstack.model;
 
-import java.util.Objects;
-
 /**
  * The identity of an entry host, unique among live hosts.
  *
@@ -13,10 +11,7 @@
 
   /** Checks the value. */
   public HostId {
-    Objects.requireNonNull(value, "value is null");
-    if (!ServiceName.LABEL.matcher(value).matches()) {
-      throw new IllegalArgumentException("not a host id: " + value);
-    }
+    Labels.require(value, "host id");
   }
 
   /**
@@ -26,14 +21,7 @@
    * @return the id, or an invalid-input problem
    */
   public static Result<HostId> parse(String text) {
-    Objects.requireNonNull(text, "text is null");
-    if (!ServiceName.LABEL.matcher(text).matches()) {
-      return Result.failure(
-          Problem.invalid(
-              "'" + text + "' is not a host id",
-              "use 1 to 63 lower-case letters, digits and inner hyphens"));
-    }
-    return Result.success(new HostId(text));
+    return Labels.parse(text, "host id", HostId::new);
   }
 
   @Override
--- a/model/src/main/java/dev/cactusstack/model/ProblemKind.java
+++ b/model/src/main/java/dev/cactusstack/model/ProblemKind.java
@@ -44,6 +44,8 @@
   PLATFORM_UNAVAILABLE("platform-unavailable", 503),
   /** The result of an edit is not known. */
   OUTCOME_UNKNOWN("outcome-unknown", 504),
+  /** The caller's own deadline has passed. */
+  DEADLINE_PASSED("deadline-passed", 504),
   /** A defect of the system itself. */
   INTERNAL("internal", 500);
 
--- a/model/src/main/java/dev/cactusstack/model/Result.java
+++ b/model/src/main/java/dev/cactusstack/model/Result.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.model;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -69,6 +70,15 @@
     return fold(Result::failure, f);
   }
 
+  /**
+   * Drops the problem of a failure.
+   *
+   * @return the value of a success, nothing for a failure
+   */
+  default Optional<T> toOptional() {
+    return fold(p -> Optional.empty(), Optional::of);
+  }
+
   /**
    * A value.
    *
--- a/model/src/main/java/dev/cactusstack/model/Route.java
+++ b/model/src/main/java/dev/cactusstack/model/Route.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.model;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 
@@ -64,7 +65,7 @@
    * @return the changed row
    */
   public Route withOperation(String operation) {
-    var ids = new java.util.ArrayList<String>();
+    var ids = new ArrayList<String>();
     ids.add(operation);
     ids.addAll(operations.subList(0, Math.min(operations.size(), OPERATIONS_KEPT - 1)));
     return new Route(key, weight, limit, upstreamLimit, version, ids);
--- a/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/UpstreamStandIn.java
@@ -29,6 +29,8 @@
  */
 public final class UpstreamStandIn implements AutoCloseable {
   private static final HttpString LOAD = new HttpString("Cactusstack-Load");
+  private static final HttpString DEADLINE = new HttpString("Cactusstack-Deadline-Ms");
+  private static final HttpString RETRY = new HttpString("Cactusstack-Retry");
   private static final HttpString OUTCOME = new HttpString("Cactusstack-Outcome");
   private static final HttpString TIME_SPENT = new HttpString("X-Standin-Micros");
   private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
@@ -250,15 +252,17 @@
     String id = x.getRequestHeaders().getFirst(REQUEST_ID);
     runs.ran(id == null ? "" : id);
     warmUpLeft.updateAndGet(n -> Math.max(0, n - 1));
-    if (condition.silent()) {
-      return;
-    }
+    boolean silent = condition.silent();
     var work = new Work(x.getIoThread(), drawMs(), condition.slowdown());
     running.add(work);
     work.start(
         () -> {
           running.remove(work);
-          answer(x, id, bodyBytes);
+          if (silent) {
+            slots.depart();
+          } else {
+            answer(x, id, bodyBytes);
+          }
         });
   }
 
@@ -289,6 +293,8 @@
                 .put("method", x.getRequestMethod().toString())
                 .put("path", path)
                 .put("request_id", id)
+                .put("deadline_ms", x.getRequestHeaders().getFirst(DEADLINE))
+                .put("retry", x.getRequestHeaders().contains(RETRY))
                 .put("body_bytes", bodyBytes));
     if (condition.cut() || condition.stall()) {
       sendHalf(x, body, condition.cut());
