--- a/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
+++ b/bench/src/main/java/dev/cactusstack/bench/LoadClient.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.bench;
 
+import dev.cactusstack.http.Workers;
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -12,7 +13,6 @@
 import io.undertow.util.Protocols;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -26,7 +26,6 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -60,20 +59,7 @@
 
   LoadClient(int threadCount, long timeoutMs) {
     this.timeoutMs = timeoutMs;
-    try {
-      worker =
-          Xnio.getInstance()
-              .createWorker(
-                  OptionMap.builder()
-                      .set(Options.WORKER_NAME, "callers")
-                      .set(Options.WORKER_IO_THREADS, threadCount)
-                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                      .set(Options.THREAD_DAEMON, true)
-                      .getMap());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    worker = Workers.daemon("callers", threadCount);
     idle = new HashMap<>();
     threads = new XnioIoThread[threadCount];
     for (int i = 0; i < threadCount; i++) {
--- a/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
+++ b/bench/src/main/java/dev/cactusstack/bench/SpeedScenario.java
@@ -4,6 +4,7 @@
 import dev.cactusstack.embedded.EmbeddedHosts;
 import dev.cactusstack.embedded.FreePorts;
 import dev.cactusstack.embedded.Site;
+import dev.cactusstack.http.Workers;
 import dev.cactusstack.standin.Deployment;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -14,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.xnio.XnioWorker;
 
 /**
  * What one entry host adds: time at a steady rate, and processor time for each call, against an
@@ -78,15 +80,8 @@
     }
   }
 
-  private static Undertow emptyServer() throws Exception {
-    var worker =
-        org.xnio.Xnio.getInstance()
-            .createWorker(
-                org.xnio.OptionMap.builder()
-                    .set(org.xnio.Options.WORKER_NAME, "empty")
-                    .set(org.xnio.Options.WORKER_IO_THREADS, 2)
-                    .set(org.xnio.Options.THREAD_DAEMON, true)
-                    .getMap());
+  private static Undertow emptyServer() {
+    XnioWorker worker = Workers.daemon("empty", 2);
     Undertow u =
         Undertow.builder()
             .addHttpListener(FreePorts.next(), "127.0.0.1")
--- a/bench/src/main/java/dev/cactusstack/bench/StandInCommands.java
+++ b/bench/src/main/java/dev/cactusstack/bench/StandInCommands.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.cactusstack.http.Json;
+import dev.cactusstack.http.Workers;
 import dev.cactusstack.standin.PlatformStandIn;
 import dev.cactusstack.standin.RunLog;
 import dev.cactusstack.standin.UpstreamStandIn;
@@ -12,9 +13,6 @@
 import java.nio.file.Path;
 import java.util.Random;
 import joptsimple.OptionSet;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** Runs one stand-in by itself until it is stopped. Stateless. */
@@ -39,8 +37,7 @@
   }
 
   static void upstream(OptionSet o) throws Exception {
-    XnioWorker worker =
-        Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    XnioWorker worker = Workers.daemon("upstream", 1);
     var traits =
         new UpstreamTraits(
             (String) o.valueOf("service"),
--- a/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
@@ -2,12 +2,12 @@
 
 import dev.cactusstack.http.HttpCaller;
 import dev.cactusstack.http.HttpFailure;
+import dev.cactusstack.http.Workers;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.Result;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
@@ -23,9 +23,6 @@
 import javax.net.ssl.TrustManagerFactory;
 import joptsimple.OptionException;
 import joptsimple.OptionSet;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** The command line of {@code bin/cactusctl}. */
@@ -102,7 +99,7 @@
       return CommandEnd.invalid(f.problem().message(), f.problem().remedy());
     }
     Optional<SSLContext> tls = trust(options.certificate(o));
-    XnioWorker worker = worker();
+    XnioWorker worker = Workers.daemon("ctl", 1);
     try {
       List<Address> addresses = hosts.fold(p -> List.<Address>of(), a -> a);
       var api =
@@ -167,19 +164,4 @@
     context.init(null, trust.getTrustManagers(), null);
     return Optional.of(context);
   }
-
-  private static XnioWorker worker() {
-    try {
-      return Xnio.getInstance()
-          .createWorker(
-              OptionMap.builder()
-                  .set(Options.WORKER_IO_THREADS, 1)
-                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                  .set(Options.THREAD_DAEMON, true)
-                  .getMap());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
--- a/embedded/src/main/java/dev/cactusstack/embedded/Site.java
+++ b/embedded/src/main/java/dev/cactusstack/embedded/Site.java
@@ -3,14 +3,13 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.cactusstack.http.Json;
+import dev.cactusstack.http.Workers;
 import dev.cactusstack.model.ListedHost;
 import dev.cactusstack.standin.Deployment;
 import dev.cactusstack.standin.PlatformStandIn;
 import dev.cactusstack.standin.RunLog;
 import dev.cactusstack.standin.UpstreamStandIn;
 import dev.cactusstack.standin.UpstreamTraits;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,9 +18,6 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.UnaryOperator;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /**
@@ -48,7 +44,7 @@
   private Site(Deployment deployment, int scale, UnaryOperator<UpstreamTraits> change, long seed) {
     this.deployment = Objects.requireNonNull(deployment, "deployment is null");
     platform = PlatformStandIn.start(0);
-    worker = worker();
+    worker = Workers.daemon("upstreams", UPSTREAM_THREADS);
     var random = new Random(seed);
     for (UpstreamTraits t : deployment.upstreams(scale)) {
       var times = new Random(random.nextLong());
@@ -83,23 +79,6 @@
     return new Site(deployment, 1, change, seed);
   }
 
-  private static XnioWorker worker() {
-    try {
-      return Xnio.getInstance()
-          .createWorker(
-              OptionMap.builder()
-                  .set(Options.WORKER_NAME, "upstreams")
-                  .set(Options.WORKER_IO_THREADS, UPSTREAM_THREADS)
-                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                  .set(Options.THREAD_DAEMON, true)
-                  .set(Options.TCP_NODELAY, true)
-                  .getMap());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   private ArrayNode rows() {
     ArrayNode writes = Json.object().putArray("writes");
     var slots = new TreeMap<String, Integer>();
--- a/host/src/main/java/dev/cactusstack/host/EntryHost.java
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -21,6 +21,7 @@
 import dev.cactusstack.host.operators.OperatorsServer;
 import dev.cactusstack.host.operators.OperatorsView;
 import dev.cactusstack.http.HttpCaller;
+import dev.cactusstack.http.Workers;
 import dev.cactusstack.link.KeyRing;
 import dev.cactusstack.link.LinkCodec;
 import dev.cactusstack.link.LinkKey;
@@ -28,8 +29,6 @@
 import dev.cactusstack.model.Address;
 import dev.cactusstack.platform.HttpPlatform;
 import dev.cactusstack.settings.HostSettings;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -38,9 +37,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /**
@@ -71,7 +67,7 @@
     this.settings = Objects.requireNonNull(settings, "settings is null");
     this.ticker = Objects.requireNonNull(ticker, "ticker is null");
     Objects.requireNonNull(clock, "clock is null");
-    worker = controlWorker();
+    worker = Workers.daemon("control", 1);
     loop = new ControlLoop(settings.id().value(), ticker);
     var metrics = new Metrics();
     var platform =
@@ -135,22 +131,6 @@
         c -> c.inForce().version());
   }
 
-  private static XnioWorker controlWorker() {
-    try {
-      return Xnio.getInstance()
-          .createWorker(
-              OptionMap.builder()
-                  .set(Options.WORKER_NAME, "control")
-                  .set(Options.WORKER_IO_THREADS, 1)
-                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                  .set(Options.THREAD_DAEMON, true)
-                  .getMap());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   private static KeyRing keyRing(HostSettings s) {
     return new KeyRing(s.link().keys().stream().map(k -> new LinkKey(k.id(), k.secret())).toList());
   }
