Never let a request wait for nothing; run keyed requests once

Cause: a new test failed now and then: 'no upstream was free' with idle upstreams. When every upstream of a route had failed before, each was 'slow' against a usual time without failures, while the expected wait was 0 because quick places were counted by time alone; nobody was ever chosen. The same mismatch kept an upstream with a high limit from being filled (crowding alone made it 'slow'). Ruled out: the silent upstreams' slots (they end now), the retry budget. Also: a request with an Idempotency-Key is claimed in the platform's table before it is sent. Conclusion: the tail must be measured again.

--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/GroupOutlook.java
@@ -7,10 +7,11 @@
 /**
  * What a group of upstreams can be expected to do now.
  *
- * <p>An upstream is slow when its estimated answer time, or the age of its oldest request, is a
- * multiple of the usual answer time of the group; the others are quick. Immutable and thread-safe.
+ * <p>An upstream is slow when its cost by past answers (time and failures), or the age of its
+ * oldest request, is a multiple of the usual cost of the group; the others are quick. Immutable and
+ * thread-safe.
  *
- * @param usualMs the answer time of the quicker upstreams, in milliseconds
+ * @param usualMs the cost of the quicker upstreams, in milliseconds
  * @param quickPlaces requests that the quick upstreams may have in flight
  * @param quickFree how many of these places are free
  */
@@ -18,9 +19,6 @@
   /** An upstream is slow when it takes this many times the usual answer time of its group. */
   static final double SLOW_RATIO = 2.5;
 
-  /** Differences below this are noise of the measurement, not of the upstreams. */
-  private static final double MIN_LATENCY_MS = 1;
-
   /**
    * Computes the outlook.
    *
@@ -41,25 +39,22 @@
     return new GroupOutlook(usual, places, free);
   }
 
-  /** The lower-third answer time of the upstreams that take requests. */
+  /** The lower-third cost of the upstreams that take requests. */
   private static double usualMs(List<UpstreamView> views) {
     double[] times = new double[views.size()];
     int n = 0;
     for (UpstreamView v : views) {
       if (v.limit() > 0) {
-        times[n++] = estimateMs(v);
+        times[n++] = v.costMs();
       }
     }
     Arrays.sort(times, 0, n);
-    return n == 0 ? MIN_LATENCY_MS : times[(n - 1) / 3];
-  }
-
-  static double estimateMs(UpstreamView v) {
-    return Math.max(MIN_LATENCY_MS, v.latencyMs());
+    return n == 0 ? 1 : times[(n - 1) / 3];
   }
 
-  private static boolean isSlow(UpstreamView v, double usual) {
-    return Math.max(v.latencyMs(), v.oldestMs()) > SLOW_RATIO * usual;
+  /** Whether past answers, or the age of the oldest request, show an upstream as slow. */
+  static boolean isSlow(UpstreamView v, double usual) {
+    return Math.max(v.costMs(), v.oldestMs()) > SLOW_RATIO * usual;
   }
 
   /**
--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/UpstreamView.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/UpstreamView.java
@@ -19,6 +19,23 @@
     double quietMs,
     double failureShare) {
 
+  /** Differences below this are noise of the measurement, not of the upstreams. */
+  private static final double MIN_LATENCY_MS = 1;
+
+  /**
+   * What a failed answer costs, in milliseconds, so that failing fast does not attract requests.
+   */
+  private static final double FAILURE_COST_MS = 250;
+
+  /**
+   * Estimates the cost of a request by past answers.
+   *
+   * @return the answer time, and the share of failures at its price, in milliseconds
+   */
+  double costMs() {
+    return Math.max(MIN_LATENCY_MS, latencyMs) + failureShare * FAILURE_COST_MS;
+  }
+
   /**
    * Tells whether another request may be sent.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/routing/PickPolicyTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/routing/PickPolicyTest.java
@@ -48,6 +48,35 @@
     assertThat(pick(1, failing, QUICK, QUICK)).isNotEqualTo(0);
   }
 
+  @Test
+  void shouldChooseOneWhenAllHaveFailedBefore() {
+    UpstreamView failed = new UpstreamView(0, 1, 2, 0, 0, 0.2);
+    assertThat(pick(0, failed, failed)).isNotEqualTo(-1);
+    UpstreamView worse = new UpstreamView(0, 1, 2, 0, 0, 0.9);
+    assertThat(pick(1, failed, worse)).isEqualTo(0);
+  }
+
+  @Test
+  void shouldFillAnUpstreamWhenItsLimitIsHigh() {
+    UpstreamView crowded = new UpstreamView(60, 64, 5, 5, 0, 0);
+    assertThat(pick(0, crowded)).isEqualTo(0);
+  }
+
+  @Property(tries = 2_000, seed = "10")
+  void shouldNeverLetARequestWaitForNothing(
+      @ForAll @IntRange(min = 1, max = 400) int latencyA,
+      @ForAll @IntRange(min = 1, max = 400) int latencyB,
+      @ForAll @IntRange(max = 10) int failuresA,
+      @ForAll @IntRange(max = 10) int failuresB,
+      @ForAll @IntRange(min = 1, max = 50) int waiting) {
+    // Nothing is in flight, so no answer will come that could end the wait.
+    List<UpstreamView> idle =
+        List.of(
+            new UpstreamView(0, 1, latencyA, 0, 0, failuresA / 10.0),
+            new UpstreamView(0, 4, latencyB, 0, 0, failuresB / 10.0));
+    assertThat(PickPolicy.EXPECTED_ANSWER.pick(idle, 0, waiting)).isPresent();
+  }
+
   @Property(tries = 500, seed = "9")
   void shouldNeverChooseOneWithoutRoom(
       @ForAll @IntRange(max = 4) int a,
--- a/host/src/main/java/dev/cactusstack/host/EntryHost.java
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -8,6 +8,7 @@
 import dev.cactusstack.decisions.routing.PickPolicy;
 import dev.cactusstack.host.callers.CallersServer;
 import dev.cactusstack.host.callers.ForwardToken;
+import dev.cactusstack.host.callers.KeyedRequests;
 import dev.cactusstack.host.control.ConfigurationController;
 import dev.cactusstack.host.control.ControlLoop;
 import dev.cactusstack.host.control.Controllers;
@@ -27,6 +28,7 @@
 import dev.cactusstack.link.LinkKey;
 import dev.cactusstack.link.LinkTransport;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.platform.HttpClaims;
 import dev.cactusstack.platform.HttpPlatform;
 import dev.cactusstack.settings.HostSettings;
 import java.time.Duration;
@@ -75,6 +77,11 @@
             new HttpCaller(worker, Optional.empty()),
             settings.platform().address(),
             Duration.ofMillis(settings.platform().timeoutMs()));
+    var claims =
+        new HttpClaims(
+            new HttpCaller(worker, Optional.empty()),
+            settings.platform().address(),
+            Duration.ofMillis(settings.platform().timeoutMs()));
     KeyRing keys = keyRing(settings);
     var receiver = new LateReceiver();
     transport = LinkTransport.open(new LinkCodec(keys), settings.link().address(), receiver);
@@ -98,6 +105,7 @@
             settings.requests(),
             upstreams::view,
             new ForwardToken(settings.id(), keys, clock),
+            new KeyedRequests(claims, settings.requests().claimsPerSecond(), ticker),
             metrics,
             ticker);
     var rates = new RatesController(callers.arrivals(), members, ticker);
--- a/host/src/main/java/dev/cactusstack/host/callers/CallersServer.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/CallersServer.java
@@ -38,6 +38,7 @@
    * @param requests how requests are treated
    * @param view reads the routing snapshot in force
    * @param token marks requests that are passed on
+   * @param keyed runs requests with an {@code Idempotency-Key} once
    * @param metrics histograms and counters
    * @param ticker the clock
    */
@@ -46,6 +47,7 @@
       RequestSettings requests,
       Supplier<RoutingView> view,
       ForwardToken token,
+      KeyedRequests keyed,
       Metrics metrics,
       Ticker ticker) {
     Objects.requireNonNull(callers, "callers is null");
@@ -64,6 +66,7 @@
             metrics,
             new RetryBudget(requests.retryShare(), RETRY_RESERVE),
             new RetryBudget(requests.hedgeShare(), HEDGE_RESERVE),
+            keyed,
             arrivals,
             new RemoteLoads(ticker),
             requests,
--- a/host/src/main/java/dev/cactusstack/host/callers/DataPath.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/DataPath.java
@@ -20,6 +20,7 @@
  * @param metrics histograms and counters
  * @param retries allows retries
  * @param hedges allows second attempts beside a slow one
+ * @param keyed runs requests with an {@code Idempotency-Key} once
  * @param arrivals counts requests of callers
  * @param remoteLoads what other owners said of their load
  * @param settings how requests are treated
@@ -33,6 +34,7 @@
     Metrics metrics,
     RetryBudget retries,
     RetryBudget hedges,
+    KeyedRequests keyed,
     ArrivalCounter arrivals,
     RemoteLoads remoteLoads,
     RequestSettings settings,
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.retries.RequestTraits;
 import dev.cactusstack.host.callers.ConnectionPools.Freshness;
 import dev.cactusstack.host.callers.Destinations.Choice;
+import dev.cactusstack.host.callers.KeyedRequests.Admission;
 import dev.cactusstack.host.callers.RequestHeads.Passage;
 import dev.cactusstack.host.observe.ServiceMetrics;
 import dev.cactusstack.model.Address;
@@ -42,6 +43,7 @@
   private @Nullable UpstreamRace race;
   private @Nullable Attempt passedOn;
   private int attempts;
+  private KeyedRequests.@Nullable Held held;
   private boolean everPossiblyRun;
   private boolean ended;
   private long upstreamNanos;
@@ -62,7 +64,33 @@
         });
     path.retries().deposit();
     path.hedges().deposit();
-    route();
+    if (KeyedRequests.concerns(exchange, facts)) {
+      path.keyed()
+          .admit(exchange, facts)
+          .thenAccept(a -> exchange.getIoThread().execute(() -> admitted(a)));
+    } else {
+      route();
+    }
+  }
+
+  private void admitted(Admission a) {
+    held = a.held();
+    Problem p = a.problem();
+    if (p != null) {
+      send(p, a.outcome());
+    } else if (ended) {
+      giveClaimBack(Outcome.NOT_RUN);
+    } else {
+      route();
+    }
+  }
+
+  /** Lets the key be used again, but only when the request certainly did not run. */
+  private void giveClaimBack(Outcome outcome) {
+    if (held != null && outcome == Outcome.NOT_RUN) {
+      path.keyed().notRun(held);
+      held = null;
+    }
   }
 
   private void finish() {
@@ -231,6 +259,10 @@
   }
 
   private void copyAnswer(ClientResponse response, long waitedNanos) {
+    boolean whetherRunIsKnown = !response.getResponseHeaders().contains(CactusHeaders.OUTCOME);
+    if (held != null && whetherRunIsKnown) {
+      path.keyed().answered(held, response.getResponseCode());
+    }
     upstreamNanos += waitedNanos;
     exchange.setStatusCode(response.getResponseCode());
     CactusHeaders.copyEndToEnd(response.getResponseHeaders(), exchange.getResponseHeaders());
@@ -299,6 +331,7 @@
     if (ended) {
       return;
     }
+    giveClaimBack(outcome);
     metrics.refused(p.kind());
     Problems.send(exchange, p, outcome);
   }
--- a/settings/src/main/java/dev/cactusstack/settings/RequestSettings.java
+++ b/settings/src/main/java/dev/cactusstack/settings/RequestSettings.java
@@ -10,6 +10,8 @@
  * @param attempts most attempts for one request
  * @param retryShare retries allowed for each first attempt
  * @param hedgeShare second attempts beside a slow one allowed for each first attempt
+ * @param claimsPerSecond most requests with an {@code Idempotency-Key} that one host takes in a
+ *     second; each costs the platform two writes
  * @param drainTimeoutMs how long a leaving host waits for requests in flight
  */
 public record RequestSettings(
@@ -20,6 +22,7 @@
     int attempts,
     double retryShare,
     double hedgeShare,
+    int claimsPerSecond,
     int drainTimeoutMs) {
 
   static RequestSettings read(Section s) {
@@ -32,6 +35,7 @@
             (int) s.integer("attempts", 3, 1, 10),
             s.fraction("retry_share", 0.1),
             s.fraction("hedge_share", 0.05),
+            (int) s.integer("claims_per_second", 10, 1, 10_000),
             (int) s.integer("drain_timeout_ms", 600_000, 0, 86_400_000));
     s.finish();
     return settings;
--- a/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
+++ b/standin/src/main/java/dev/cactusstack/standin/PlatformStandIn.java
@@ -23,9 +23,9 @@
  * The platform's table service, object store and host list in memory, over HTTP, with faults that
  * can be caused.
  *
- * <p>Interface: {@code GET /v1/rows?after=N}, {@code POST /v1/transactions}, {@code GET
- * /v1/hosts?after=N}, {@code PUT|DELETE /v1/hosts/ADDRESS}, {@code GET|PUT /v1/objects/NAME} and
- * {@code PUT /v1/faults}. Thread-safe.
+ * <p>Interface: {@code GET /v1/rows?after=N}, {@code GET /v1/row?key=K}, {@code POST
+ * /v1/transactions}, {@code GET /v1/hosts?after=N}, {@code PUT|DELETE /v1/hosts/ADDRESS}, {@code
+ * GET|PUT /v1/objects/NAME} and {@code PUT /v1/faults}. Thread-safe.
  */
 public final class PlatformStandIn implements AutoCloseable {
   private static final int IO_THREADS = 1;
@@ -38,6 +38,7 @@
   private static final String OBJECTS_PATH = "/v1/objects/";
 
   private final TableState table = new TableState();
+  private final TableState claims = new TableState();
   private final HostRegister hosts = new HostRegister();
   private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
   private final LongAdder bytes = new LongAdder();
@@ -139,7 +140,9 @@
     }
     String path = x.getRequestPath();
     if (path.equals("/v1/rows")) {
-      reply(x, 200, table.changesAfter(after(x)));
+      reply(x, 200, tableOf(x).changesAfter(after(x)));
+    } else if (path.equals("/v1/row")) {
+      reply(x, 200, tableOf(x).row(queryValue(x, "key")));
     } else if (path.equals("/v1/transactions")) {
       transact(x);
     } else if (path.equals("/v1/hosts")) {
@@ -154,12 +157,21 @@
   }
 
   private static boolean isTable(String path) {
-    return path.equals("/v1/rows") || path.equals("/v1/transactions");
+    return path.equals("/v1/rows") || path.equals("/v1/row") || path.equals("/v1/transactions");
+  }
+
+  private TableState tableOf(HttpServerExchange x) {
+    return queryValue(x, "table").equals("claims") ? claims : table;
+  }
+
+  private static String queryValue(HttpServerExchange x, String name) {
+    Deque<String> values = x.getQueryParameters().get(name);
+    return values == null ? "" : values.getFirst();
   }
 
   private static long after(HttpServerExchange x) {
-    Deque<String> values = x.getQueryParameters().get("after");
-    return values == null ? 0 : Long.parseLong(values.getFirst());
+    String after = queryValue(x, "after");
+    return after.isEmpty() ? 0 : Long.parseLong(after);
   }
 
   private static JsonNode body(HttpServerExchange x) throws Exception {
@@ -168,7 +180,7 @@
   }
 
   private void transact(HttpServerExchange x) throws Exception {
-    OptionalLong revision = table.commit(body(x));
+    OptionalLong revision = tableOf(x).commit(body(x));
     if (takeLostAnswer()) {
       IoUtils.safeClose(x.getConnection());
     } else if (revision.isPresent()) {
