Put an accepted edit into force from the commit itself

Cause: in a clean clone under load a host that started while the table was down never got an edit accepted just before: the accepting host put edits into force by reading the table again, and the table was down by then. So an accepted edit could be in force nowhere until the platform returned. Ruled out: the link (pages of that size arrive), membership (the hosts knew each other). Change: the committed rows are put into force at once, unless another edit came between; pages of changes are small enough for one datagram with all operation ids (before, eight rows could exceed the 2,048 bytes that are received). Conclusion: the promise holds for the accepting host's own edits.

--- a/decisions/src/main/java/dev/cactusstack/decisions/recovery/Plan.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/recovery/Plan.java
@@ -1,12 +1,15 @@
 package dev.cactusstack.decisions.recovery;
 
+import dev.cactusstack.model.DataCentre;
 import dev.cactusstack.model.DataCentreRow;
 import dev.cactusstack.model.EditOutcome;
 import dev.cactusstack.model.Route;
+import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.model.Table;
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 
 /**
@@ -55,6 +58,24 @@
         dataCentres = List.copyOf(dataCentres);
       }
 
+      /**
+       * Returns the rows as they are once committed.
+       *
+       * @param revision the revision that contains them
+       * @return a change that a table can merge
+       */
+      public Table committedAt(long revision) {
+        var r = new TreeMap<RouteKey, Route>();
+        routes.forEach(x -> r.put(x.key(), x.withVersion(revision)));
+        var d = new TreeMap<DataCentre, DataCentreRow>();
+        dataCentres.forEach(
+            x ->
+                d.put(
+                    x.dataCentre(),
+                    new DataCentreRow(x.dataCentre(), x.out(), revision, x.operations())));
+        return new Table(revision, r, d);
+      }
+
       /**
        * Finds out what became of this commit when its answer was lost. All rows are written
        * together or none is.
--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -37,7 +37,9 @@
   /** Every host reads this much less often than a reader, in case the readers are cut off. */
   private static final int BACKSTOP_FACTOR = 10;
 
-  private static final int ROWS_PER_PAGE = 8;
+  /** Rows with all their operation ids must fit the datagram that a receiver takes. */
+  private static final int ROWS_PER_PAGE = 3;
+
   private static final long PULL_TIMEOUT_MS = 200;
 
   private final TableStore store;
--- a/host/src/main/java/dev/cactusstack/host/control/EditService.java
+++ b/host/src/main/java/dev/cactusstack/host/control/EditService.java
@@ -104,7 +104,7 @@
           yield start(now, tries);
         }
         // Only one of two commits that expect the same versions can take effect.
-        case OPEN -> commit(earlier, tries);
+        case OPEN -> commit(earlier, now, tries);
         case UNTRACEABLE ->
             done(unknown("the row was edited many times since, and no longer tells"));
       };
@@ -113,19 +113,28 @@
     private CompletableFuture<EditOutcome> start(Table now, int tries) {
       Plan.Step step = plan.against(now);
       return step instanceof Plan.Step.Commit c
-          ? commit(c, tries)
+          ? commit(c, now, tries)
           : done(((Plan.Step.Done) step).outcome());
     }
 
-    private CompletableFuture<EditOutcome> commit(Plan.Step.Commit c, int tries) {
+    private CompletableFuture<EditOutcome> commit(Plan.Step.Commit c, Table base, int tries) {
       return store
           .commit(c.routes(), c.dataCentres())
-          .handle((o, t) -> t == null ? committed(o, tries) : failed(c, HttpFailure.of(t), tries))
+          .handle(
+              (o, t) ->
+                  t == null ? committed(c, base, o, tries) : failed(c, HttpFailure.of(t), tries))
           .thenCompose(f -> f);
     }
 
-    private CompletableFuture<EditOutcome> committed(CommitOutcome o, int tries) {
+    private CompletableFuture<EditOutcome> committed(
+        Plan.Step.Commit commit, Table base, CommitOutcome o, int tries) {
       if (o instanceof CommitOutcome.Committed c) {
+        // The platform may go down before the next read. The rows are put into force from the
+        // commit
+        // itself, unless another edit came between, whose rows this host has not seen.
+        if (c.revision() == base.version() + 1) {
+          configuration.learn(commit.committedAt(c.revision()));
+        }
         configuration.refresh();
         return done(new EditOutcome.Accepted(c.revision()));
       }
--- a/link/src/main/java/dev/cactusstack/link/LinkTransport.java
+++ b/link/src/main/java/dev/cactusstack/link/LinkTransport.java
@@ -6,6 +6,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -23,6 +25,9 @@
  * <p>Delivery is not assured: a datagram can be lost, repeated or reordered. Thread-safe.
  */
 public final class LinkTransport implements AutoCloseable {
+  /** The largest datagram that is received whole. */
+  static final int MAX_DATAGRAM_BYTES = 2_048;
+
   /** Datagram, IPv4 and UDP headers, in bytes. */
   private static final int HEADER_BYTES = 28;
 
@@ -40,6 +45,8 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new Receiver(receiver))
             .bind(new InetSocketAddress(bind.ip(), port))
             .syncUninterruptibly()
--- a/link/src/test/java/dev/cactusstack/link/LinkCodecTest.java
+++ b/link/src/test/java/dev/cactusstack/link/LinkCodecTest.java
@@ -130,4 +130,21 @@
     }
     assertThat(read).isEqualTo(source);
   }
+
+  @Test
+  void shouldFitADatagramWhenRowsRememberAllTheirOperations() {
+    var operations =
+        java.util.stream.IntStream.range(0, Route.OPERATIONS_KEPT)
+            .mapToObj(i -> "00000000-0000-0000-0000-00000000000" + i)
+            .toList();
+    var routes = new TreeMap<RouteKey, Route>();
+    for (int i = 0; i < 3; i++) {
+      RouteKey k = RouteKey.of("a-service-with-a-long-name-" + i, "a-data-centre-" + i);
+      routes.put(k, new Route(k, 1_000, 1_000_000, 10_000, Long.MAX_VALUE, operations));
+    }
+    var body = new LinkBody.ChangesPage(new Table(Long.MAX_VALUE, routes, new TreeMap<>()), true);
+    var codec = new LinkCodec(new KeyRing(List.of(OLD)));
+    byte[] bytes = codec.encode(new LinkMessage(member(), List.of(), body));
+    assertThat(bytes.length).isLessThan(LinkTransport.MAX_DATAGRAM_BYTES);
+  }
 }
--- a/model/src/main/java/dev/cactusstack/model/Route.java
+++ b/model/src/main/java/dev/cactusstack/model/Route.java
@@ -58,6 +58,16 @@
     };
   }
 
+  /**
+   * Replaces the version.
+   *
+   * @param next the table revision that last changed the row
+   * @return the changed row
+   */
+  public Route withVersion(long next) {
+    return new Route(key, weight, limit, upstreamLimit, next, operations);
+  }
+
   /**
    * Records an accepted operation, and forgets the oldest one past {@link #OPERATIONS_KEPT}.
    *
