--- a/host/src/main/java/dev/cactusstack/host/callers/TimerWheel.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/TimerWheel.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioIoThread;
@@ -78,7 +79,12 @@
   }
 
   private void turnLater() {
-    thread.executeAfter(this::turn, TICK_MS, TimeUnit.MILLISECONDS);
+    try {
+      thread.executeAfter(this::turn, TICK_MS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      // The thread is shutting down, and closes every connection that a timer guards.
+      turning = false;
+    }
   }
 
   private void turn() {
