Read once more: compute the outlook once, one platform client, no dead factory

Cause: a second reading of the whole change. Each choice of an upstream computed the group's outlook twice on the hot path; a host had two control clients with a buffer pool each; RouteLimits.of had no caller; RequestRun described failed attempts, which belongs beside the other problems. Change: those four; behaviour is the same.

--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/ExpectedAnswer.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/ExpectedAnswer.java
@@ -23,8 +23,7 @@
 
   private ExpectedAnswer() {}
 
-  static OptionalInt pick(List<UpstreamView> views, int turn, int waiting) {
-    GroupOutlook outlook = GroupOutlook.of(views);
+  static OptionalInt pick(List<UpstreamView> views, GroupOutlook outlook, int turn, int waiting) {
     double usual = outlook.usualMs();
     OptionalInt quick =
         PickPolicy.lowest(
--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/PickPolicy.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/PickPolicy.java
@@ -14,7 +14,7 @@
   /** Takes the upstreams in turn, whatever their room. */
   ROUND_ROBIN {
     @Override
-    public OptionalInt pick(List<UpstreamView> views, int turn, int waiting) {
+    public OptionalInt pick(List<UpstreamView> views, GroupOutlook outlook, int turn, int waiting) {
       return views.isEmpty()
           ? OptionalInt.empty()
           : OptionalInt.of(Math.floorMod(turn, views.size()));
@@ -24,7 +24,7 @@
   /** Takes the one with the fewest requests in flight, whatever its room. */
   LEAST_LOADED {
     @Override
-    public OptionalInt pick(List<UpstreamView> views, int turn, int waiting) {
+    public OptionalInt pick(List<UpstreamView> views, GroupOutlook outlook, int turn, int waiting) {
       return lowest(views, turn, v -> v.inFlight());
     }
   },
@@ -35,8 +35,8 @@
    */
   EXPECTED_ANSWER {
     @Override
-    public OptionalInt pick(List<UpstreamView> views, int turn, int waiting) {
-      return ExpectedAnswer.pick(views, turn, waiting);
+    public OptionalInt pick(List<UpstreamView> views, GroupOutlook outlook, int turn, int waiting) {
+      return ExpectedAnswer.pick(views, outlook, turn, waiting);
     }
   };
 
@@ -48,7 +48,21 @@
    * @param waiting requests that wait for this choice's outcome, the next one included
    * @return the index of the choice, or nothing when none can be chosen
    */
-  public abstract OptionalInt pick(List<UpstreamView> views, int turn, int waiting);
+  public OptionalInt pick(List<UpstreamView> views, int turn, int waiting) {
+    return pick(views, GroupOutlook.of(views), turn, waiting);
+  }
+
+  /**
+   * Chooses an upstream, for a caller that has computed the outlook.
+   *
+   * @param views the upstreams
+   * @param outlook the outlook of {@code views}
+   * @param turn a number that grows with each choice; rotates the order among equals
+   * @param waiting requests that wait for this choice's outcome, the next one included
+   * @return the index of the choice, or nothing when none can be chosen
+   */
+  public abstract OptionalInt pick(
+      List<UpstreamView> views, GroupOutlook outlook, int turn, int waiting);
 
   static OptionalInt lowest(
       List<UpstreamView> views, int turn, ToDoubleFunction<UpstreamView> cost) {
--- a/host/src/main/java/dev/cactusstack/host/EntryHost.java
+++ b/host/src/main/java/dev/cactusstack/host/EntryHost.java
@@ -72,16 +72,10 @@
     worker = Workers.daemon("control", 1);
     loop = new ControlLoop(settings.id().value(), ticker);
     var metrics = new Metrics();
-    var platform =
-        new HttpPlatform(
-            new HttpCaller(worker, Optional.empty()),
-            settings.platform().address(),
-            Duration.ofMillis(settings.platform().timeoutMs()));
-    var claims =
-        new HttpClaims(
-            new HttpCaller(worker, Optional.empty()),
-            settings.platform().address(),
-            Duration.ofMillis(settings.platform().timeoutMs()));
+    var caller = new HttpCaller(worker, Optional.empty());
+    Duration timeout = Duration.ofMillis(settings.platform().timeoutMs());
+    var platform = new HttpPlatform(caller, settings.platform().address(), timeout);
+    var claims = new HttpClaims(caller, settings.platform().address(), timeout);
     KeyRing keys = keyRing(settings);
     var receiver = new LateReceiver();
     transport = LinkTransport.open(new LinkCodec(keys), settings.link().address(), receiver);
--- a/host/src/main/java/dev/cactusstack/host/callers/Problems.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Problems.java
@@ -1,9 +1,11 @@
 package dev.cactusstack.host.callers;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusstack.decisions.retries.AttemptEvent;
 import dev.cactusstack.http.Json;
 import dev.cactusstack.model.Problem;
 import dev.cactusstack.model.ProblemKind;
+import dev.cactusstack.model.ServiceName;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -14,6 +16,23 @@
 final class Problems {
   private Problems() {}
 
+  /** Describes a request whose last attempt failed. */
+  static Problem ofAttempt(
+      ServiceName service, AttemptEvent cause, String reason, Outcome outcome) {
+    ProblemKind kind =
+        switch (cause) {
+          case CONNECT_FAILED -> ProblemKind.UPSTREAM_UNREACHABLE;
+          case REFUSED -> ProblemKind.OVERLOADED;
+          case TIMED_OUT -> ProblemKind.UPSTREAM_TIMEOUT;
+          default -> ProblemKind.UPSTREAM_FAILED;
+        };
+    String remedy =
+        outcome == Outcome.NOT_RUN
+            ? "the request was not run; it is safe to repeat"
+            : "the request may have run; repeat it only when it is idempotent, or look up its effect";
+    return new Problem(kind, "an upstream of " + service + " failed: " + reason, remedy);
+  }
+
   static void send(HttpServerExchange x, Problem p, Outcome outcome) {
     send(x, p, outcome, h -> {});
   }
--- a/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RequestRun.java
@@ -307,20 +307,7 @@
   }
 
   private void tell(AttemptEvent cause, String reason, Outcome outcome) {
-    ProblemKind kind =
-        switch (cause) {
-          case CONNECT_FAILED -> ProblemKind.UPSTREAM_UNREACHABLE;
-          case REFUSED -> ProblemKind.OVERLOADED;
-          case TIMED_OUT -> ProblemKind.UPSTREAM_TIMEOUT;
-          default -> ProblemKind.UPSTREAM_FAILED;
-        };
-    String remedy =
-        outcome == Outcome.NOT_RUN
-            ? "the request was not run; it is safe to repeat"
-            : "the request may have run; repeat it only when it is idempotent, or look up its effect";
-    send(
-        new Problem(kind, "an upstream of " + facts.service() + " failed: " + reason, remedy),
-        outcome);
+    send(Problems.ofAttempt(facts.service(), cause, reason, outcome), outcome);
   }
 
   private void refuseNow(Problem p) {
--- a/host/src/main/java/dev/cactusstack/host/callers/RouteLimits.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RouteLimits.java
@@ -1,7 +1,5 @@
 package dev.cactusstack.host.callers;
 
-import dev.cactusstack.model.Route;
-
 /**
  * The limits of a route as its owner applies them. Immutable and thread-safe.
  *
@@ -9,8 +7,4 @@
  * @param perUpstream most requests in flight at one upstream
  * @param queueLength most requests waiting
  */
-record RouteLimits(int inFlight, int perUpstream, int queueLength) {
-  static RouteLimits of(Route r, int queueLength) {
-    return new RouteLimits(r.limit(), r.upstreamLimit(), queueLength);
-  }
-}
+record RouteLimits(int inFlight, int perUpstream, int queueLength) {}
--- a/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/RouteScheduler.java
@@ -247,8 +247,9 @@
     for (int i = 0; i <= candidates.size(); i++) {
       long now = ticker.nanos();
       List<UpstreamView> views = views(candidates, l, now);
-      usualMs = GroupOutlook.of(views).usualMs();
-      OptionalInt choice = policy.pick(views, turn.getAndIncrement(), waits);
+      GroupOutlook outlook = GroupOutlook.of(views);
+      usualMs = outlook.usualMs();
+      OptionalInt choice = policy.pick(views, outlook, turn.getAndIncrement(), waits);
       if (choice.isEmpty()) {
         return null;
       }
