--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -2,7 +2,7 @@
 # Sourced, not run.
 set -eu
 ROOT=$(cd "$(dirname "$(readlink -f "$0")")/.." && pwd)
-LIB="$ROOT/dist/target/lib"
+LIB="$ROOT/target/lib"
 if [ ! -e "$LIB/cactusstack-host-0.1.0.jar" ]; then
   echo "event=building remedy=\"wait; this happens once\"" >&2
   (cd "$ROOT" && mvn -B -q -DskipTests -Dspotless.check.skip=true package >&2)
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -0,0 +1,212 @@
+package dev.cactusstack.decisions.gossip;
+
+import dev.cactusstack.model.site.HostEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Which hosts are alive, by gossip of heartbeat counters (van Renesse, Minsky and Hayden, 1998): a
+ * host raises its own counter, passes all counters it knows to a few random hosts each round, and
+ * takes a host for dead whose counter has not risen for a while.
+ *
+ * <p>A host learns the others from the store when it starts and from their gossip later. Messages
+ * per host and round are constant. Confined to one thread.
+ */
+public final class PeerTable {
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final long deadAfterMs;
+  private final RandomGenerator random;
+  private final Map<Integer, Peer> peers = new HashMap<>();
+  private final int self;
+  private Pulse own;
+
+  /**
+   * Creates a table that knows this host only.
+   *
+   * @param selfName this host's name
+   * @param deadAfterMs silence after which a host is taken for dead, in milliseconds
+   * @param random chooses whom to tell
+   */
+  public PeerTable(String selfName, long deadAfterMs, RandomGenerator random) {
+    this.self = hash(selfName);
+    this.deadAfterMs = deadAfterMs;
+    this.random = random;
+    this.own = new Pulse(self, 0, 0, false);
+  }
+
+  /**
+   * Hashes a host's name.
+   *
+   * @param name the name
+   * @return what stands for it in messages
+   */
+  public static int hash(String name) {
+    return name.hashCode();
+  }
+
+  /**
+   * Takes over what is known of a host's start. A host other than this one counts as alive only
+   * once its counter has been heard to rise.
+   *
+   * @param e the host's entry
+   * @param nowMs the present time on a steady clock, in milliseconds
+   * @return true when this start was not known
+   */
+  public boolean learn(HostEntry e, long nowMs) {
+    int id = hash(e.name());
+    Peer p = peers.get(id);
+    if (p != null && p.entry.incarnation() >= e.incarnation()) {
+      return false;
+    }
+    peers.put(id, new Peer(e, new Pulse(id, e.incarnation(), 0, false), nowMs));
+    if (id == self) {
+      own = new Pulse(self, e.incarnation(), own.beat(), own.leaving());
+    }
+    return true;
+  }
+
+  /**
+   * Lists hosts whose start is news.
+   *
+   * @param newerThanMs how long ago at most the start was learned, in milliseconds
+   * @param count how many at most
+   * @param nowMs the present time on the same clock
+   * @return their entries, this host's own first
+   */
+  public List<HostEntry> news(long newerThanMs, int count, long nowMs) {
+    List<HostEntry> out = new ArrayList<>();
+    Peer me = peers.get(self);
+    if (me != null) {
+      out.add(me.entry);
+    }
+    for (Peer p : peers.values()) {
+      if (out.size() < count && p != me && nowMs - p.learnedMs < newerThanMs) {
+        out.add(p.entry);
+      }
+    }
+    return out;
+  }
+
+  /**
+   * Starts a round.
+   *
+   * @param nowMs the present time on the same clock
+   * @return the counters to tell
+   */
+  public List<Pulse> round(long nowMs) {
+    own = new Pulse(self, own.incarnation(), own.beat() + 1, own.leaving());
+    List<Pulse> out = new ArrayList<>();
+    out.add(own);
+    for (Peer p : peers.values()) {
+      if (p.pulse.host() != self && alive(p, nowMs)) {
+        out.add(p.pulse);
+      }
+    }
+    return out;
+  }
+
+  /**
+   * Chooses whom to tell.
+   *
+   * @param count how many hosts
+   * @param nowMs the present time on the same clock
+   * @return registered hosts other than this one
+   */
+  public List<HostEntry> targets(int count, long nowMs) {
+    List<HostEntry> others = new ArrayList<>();
+    for (Peer p : peers.values()) {
+      if (p.pulse.host() != self) {
+        others.add(p.entry);
+      }
+    }
+    for (int i = 0; i < Math.min(count, others.size()); i++) {
+      int j = i + random.nextInt(others.size() - i);
+      HostEntry e = others.get(j);
+      others.set(j, others.get(i));
+      others.set(i, e);
+    }
+    return others.subList(0, Math.min(count, others.size()));
+  }
+
+  /**
+   * Takes in counters that another host told.
+   *
+   * @param pulses the counters
+   * @param nowMs the present time on the same clock
+   */
+  public void heard(List<Pulse> pulses, long nowMs) {
+    for (Pulse p : pulses) {
+      Peer known = peers.get(p.host());
+      if (known == null || p.incarnation() != known.entry.incarnation()) {
+        continue;
+      }
+      if (p.newerThan(known.pulse)) {
+        known.pulse = p;
+        known.risenMs = nowMs;
+      }
+    }
+  }
+
+  /** Begins to tell that this host is leaving. */
+  public void leave() {
+    own = new Pulse(self, own.incarnation(), own.beat(), true);
+  }
+
+  /**
+   * Lists the hosts that can be used.
+   *
+   * @param nowMs the present time on the same clock
+   * @return registered hosts that are alive and not leaving, this one among them unless it leaves
+   */
+  public List<HostEntry> usable(long nowMs) {
+    List<HostEntry> out = new ArrayList<>();
+    for (Peer p : peers.values()) {
+      boolean leaving = p.pulse.host() == self ? own.leaving() : p.pulse.leaving();
+      if (!leaving && (p.pulse.host() == self || alive(p, nowMs))) {
+        out.add(p.entry);
+      }
+    }
+    return out;
+  }
+
+  /**
+   * Counts the registered hosts, dead or alive.
+   *
+   * @return at least 1
+   */
+  public int size() {
+    return Math.max(1, peers.size());
+  }
+
+  /**
+   * Finds a host.
+   *
+   * @param host hash of its name
+   * @return its entry
+   */
+  public Optional<HostEntry> find(int host) {
+    return Optional.ofNullable(peers.get(host)).map(p -> p.entry);
+  }
+
+  private boolean alive(Peer p, long nowMs) {
+    return nowMs - p.risenMs < deadAfterMs;
+  }
+
+  private static final class Peer {
+    private final HostEntry entry;
+    private final long learnedMs;
+    private Pulse pulse;
+    private long risenMs = NEVER;
+
+    Peer(HostEntry entry, Pulse pulse, long nowMs) {
+      this.entry = entry;
+      this.pulse = pulse;
+      this.learnedMs = nowMs;
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Ask.java
@@ -0,0 +1,34 @@
+package dev.cactusstack.decisions.placing;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * A request that wants an upstream. Immutable and thread-safe.
+ *
+ * @param key identifies the ask
+ * @param dataCentre the data centre of the asking host
+ * @param route the name of the request's route
+ * @param priority rank of the route, 0 first
+ * @param objectiveMs time left until its latency objective is missed, in milliseconds
+ * @param waitMs longest time that it may wait for a slot, in milliseconds
+ * @param bodyBytes size of its body
+ * @param tried upstreams that must not be chosen
+ */
+public record Ask(
+    AskKey key,
+    String dataCentre,
+    String route,
+    int priority,
+    long objectiveMs,
+    long waitMs,
+    int bodyBytes,
+    Set<String> tried) {
+  /** Checks and copies the components. */
+  public Ask {
+    Objects.requireNonNull(key, "key is null");
+    Objects.requireNonNull(dataCentre, "dataCentre is null");
+    Objects.requireNonNull(route, "route is null");
+    tried = Set.copyOf(tried);
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/AttemptEnd.java
@@ -0,0 +1,49 @@
+package dev.cactusstack.decisions.placing;
+
+/** How an attempt to run a request on an upstream ended. Thread-safe. */
+public enum AttemptEnd {
+  /** A whole answer that isn't a server error. */
+  ANSWERED(false, false),
+  /** A whole answer with a server error; the request ran. */
+  FAILED(false, true),
+  /** The upstream said that it did not run the request. */
+  REFUSED(true, true),
+  /** Another upstream has the address; it did not run the request. */
+  WRONG_INSTANCE(true, true),
+  /** No connection could be made; nothing was sent. */
+  UNREACHABLE(true, true),
+  /** The connection ended, or what came was no answer; the request may have run. */
+  BROKEN(false, true),
+  /** No answer came in time; the request may have run. */
+  TIMED_OUT(false, true),
+  /** The caller left or another attempt was faster. */
+  ABANDONED(false, false),
+  /** The place was not used; nothing was sent. */
+  UNUSED(true, false);
+
+  private final boolean notRun;
+  private final boolean fault;
+
+  AttemptEnd(boolean notRun, boolean fault) {
+    this.notRun = notRun;
+    this.fault = fault;
+  }
+
+  /**
+   * Tells whether this end proves that the request did not run and never will.
+   *
+   * @return true when the request can be sent again whatever its kind
+   */
+  public boolean notRun() {
+    return notRun;
+  }
+
+  /**
+   * Tells whether this end speaks against the upstream.
+   *
+   * @return true for a fault of the upstream or of the way to it
+   */
+  public boolean fault() {
+    return fault;
+  }
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -0,0 +1,275 @@
+package dev.cactusstack.decisions.placing;
+
+import dev.cactusstack.model.site.ServiceRule;
+import dev.cactusstack.model.site.UpstreamEntry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Places the requests of one service on its upstreams.
+ *
+ * <p>A request goes to the upstream with a free slot where its answer is expected first. When no
+ * slot is free it waits here, not at an upstream, so that it takes whichever slot is free first.
+ * When it would wait longer than it may, it is turned away at once.
+ *
+ * <p>Invariant: no upstream holds more requests of this scheduler than it has slots. Confined to
+ * one thread.
+ */
+public final class Scheduler {
+  private static final double OCCUPIED_WEIGHT = 0.6;
+  private static final double FAULT_WEIGHT = 4;
+  private static final double COLD_PACE = 2.5;
+  private static final double MEAN_PACE_STEP = 0.05;
+  private static final long LONGEST_HOLD_MS = 10_000;
+  private static final long SHORTEST_RETRY_AFTER_MS = 30;
+  private static final long LONGEST_RETRY_AFTER_MS = 1_000;
+  private static final long NO_UPSTREAM_RETRY_AFTER_MS = 300;
+
+  private final SchedulerSettings settings;
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final Map<AskKey, Held> held = new HashMap<>();
+  private final WaitingLine line = new WaitingLine();
+  private final WorkTimes workTimes = new WorkTimes();
+  private double meanPace = 1.3;
+  private int coldBound;
+
+  /**
+   * Creates a scheduler that knows no upstreams.
+   *
+   * @param settings what to go by
+   */
+  public Scheduler(SchedulerSettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Takes over which upstreams may get work.
+   *
+   * @param rule what operators say of the service
+   * @param usable the upstreams that may get work
+   * @param nowMs the present time on a steady clock, in milliseconds
+   */
+  public void upstreams(ServiceRule rule, Collection<UpstreamEntry> usable, long nowMs) {
+    coldBound = settings.coldBound(rule.coldPerSecond());
+    Map<String, UpstreamLoad> kept = new HashMap<>();
+    for (UpstreamEntry e : usable) {
+      UpstreamLoad load = loads.get(e.id());
+      if (load == null) {
+        load = new UpstreamLoad(e, nowMs);
+      } else {
+        load.announce(e, nowMs);
+      }
+      kept.put(e.id(), load);
+    }
+    loads.clear();
+    loads.putAll(kept);
+  }
+
+  /**
+   * Decides about a request.
+   *
+   * @param ask the request
+   * @param nowMs the present time on the same clock
+   * @return a place, a wait, or a refusal
+   */
+  public Verdict ask(Ask ask, long nowMs) {
+    Optional<UpstreamLoad> best = line.size() > 0 ? Optional.empty() : best(ask, nowMs);
+    if (best.isPresent()) {
+      return place(ask, best.get(), nowMs);
+    }
+    if (!anyFor(ask)) {
+      return new Verdict.TurnedAway(ask.key(), NO_UPSTREAM_RETRY_AFTER_MS);
+    }
+    double wait = expectedWaitMs(ask);
+    if (wait > ask.waitMs()) {
+      return new Verdict.TurnedAway(ask.key(), retryAfter(wait - ask.waitMs()));
+    }
+    line.add(ask, nowMs);
+    return new Verdict.Waits(ask.key());
+  }
+
+  /**
+   * Takes in the end of an attempt, which frees a slot. The same end may be told more than once.
+   *
+   * @param r the end
+   * @param nowMs the present time on the same clock
+   * @return places for requests that waited
+   */
+  public List<Verdict> report(Report r, long nowMs) {
+    Held h = held.remove(r.key());
+    if (h == null) {
+      return List.of();
+    }
+    UpstreamLoad load = loads.get(r.upstream());
+    if (load != null) {
+      load.ended(r, nowMs);
+    }
+    if (r.end() == AttemptEnd.ANSWERED && r.load().isPresent()) {
+      double pace = r.load().get().pacePercent() / (double) LoadFigures.USUAL_PACE;
+      meanPace += (pace - meanPace) * MEAN_PACE_STEP;
+      workTimes.took(h.ask.route(), h.ask.objectiveMs(), r.tookMs(), pace);
+    }
+    return fill(nowMs);
+  }
+
+  /**
+   * Forgets a request that no longer wants a place.
+   *
+   * @param key its ask
+   */
+  public void withdraw(AskKey key) {
+    line.remove(key);
+    Held h = held.remove(key);
+    UpstreamLoad load = h == null ? null : loads.get(h.upstream());
+    if (load != null) {
+      load.release(key);
+    }
+  }
+
+  /**
+   * Places requests for which there is room by now, and turns away those that waited too long.
+   *
+   * @param nowMs the present time on the same clock
+   * @return the decisions
+   */
+  public List<Verdict> tick(long nowMs) {
+    loads.values().forEach(l -> l.dropHoldsBefore(nowMs - LONGEST_HOLD_MS));
+    held.values().removeIf(h -> h.sinceMs < nowMs - LONGEST_HOLD_MS);
+    List<Verdict> out = new ArrayList<>(fill(nowMs));
+    for (Ask a : line.takeExpired(nowMs)) {
+      out.add(new Verdict.TurnedAway(a.key(), retryAfter(expectedWaitMs(a))));
+    }
+    return out;
+  }
+
+  /**
+   * Tells whether requests wait.
+   *
+   * @return true while a tick may have something to do soon
+   */
+  public boolean busy() {
+    return line.size() > 0;
+  }
+
+  /**
+   * Says what is known of an upstream, for a log line.
+   *
+   * @param upstream the upstream's identity
+   * @param nowMs the present time on the same clock
+   * @return occupied slots, expected pace and faults
+   */
+  public String describe(String upstream, long nowMs) {
+    UpstreamLoad l = loads.get(upstream);
+    if (l == null) {
+      return "unknown";
+    }
+    return "%d/%d:%.1f:%.2f"
+        .formatted(
+            l.occupied(nowMs), l.entry().slots(), l.expectedPace(meanPace, nowMs), l.faults());
+  }
+
+  /**
+   * Returns the usual answer time of a route.
+   *
+   * @param route the route's name
+   * @param objectiveMs its latency objective, in milliseconds
+   * @return milliseconds on an undisturbed upstream
+   */
+  public double usualMs(String route, long objectiveMs) {
+    return workTimes.of(route, objectiveMs);
+  }
+
+  private List<Verdict> fill(long nowMs) {
+    if (line.size() == 0) {
+      return List.of();
+    }
+    List<Verdict> out = new ArrayList<>();
+    for (Ask a : line.ordered(this::workMs, nowMs)) {
+      Optional<UpstreamLoad> best = best(a, nowMs);
+      if (best.isPresent()) {
+        line.remove(a.key());
+        out.add(place(a, best.get(), nowMs));
+      }
+    }
+    return out;
+  }
+
+  private Verdict place(Ask ask, UpstreamLoad load, long nowMs) {
+    load.hold(ask.key(), workMs(ask), nowMs);
+    held.put(ask.key(), new Held(ask, load.entry().id(), nowMs));
+    return new Verdict.Placed(ask.key(), load.entry());
+  }
+
+  private double workMs(Ask ask) {
+    return workTimes.of(ask.route(), ask.objectiveMs());
+  }
+
+  private boolean anyFor(Ask ask) {
+    return loads.values().stream().anyMatch(l -> !ask.tried().contains(l.entry().id()));
+  }
+
+  private Optional<UpstreamLoad> best(Ask ask, long nowMs) {
+    UpstreamLoad best = null;
+    double bestMs = Double.MAX_VALUE;
+    boolean allRest = loads.values().stream().allMatch(l -> l.resting(nowMs));
+    for (UpstreamLoad l : loads.values()) {
+      if (!eligible(l, ask.tried(), allRest, nowMs)) {
+        continue;
+      }
+      double ms = expectedMs(l, ask, nowMs);
+      if (ms < bestMs) {
+        best = l;
+        bestMs = ms;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean eligible(UpstreamLoad l, Set<String> tried, boolean allRest, long nowMs) {
+    if (!l.free(nowMs) || tried.contains(l.entry().id())) {
+      return false;
+    }
+    if (l.cold(nowMs) && !l.coldAllows(coldBound, nowMs)) {
+      return false;
+    }
+    if (allRest) {
+      return true;
+    }
+    return !l.resting(nowMs) && (!l.onTrial() || l.idle());
+  }
+
+  private double expectedMs(UpstreamLoad l, Ask ask, long nowMs) {
+    double pace = l.expectedPace(meanPace, nowMs);
+    if (l.cold(nowMs)) {
+      pace = Math.max(pace, 1) * COLD_PACE;
+    }
+    double occupied = l.occupied(nowMs) / (double) l.entry().slots();
+    double run = workMs(ask) * pace * (1 + OCCUPIED_WEIGHT * occupied);
+    return run * (1 + FAULT_WEIGHT * l.faults()) + wayMs(l.entry(), ask);
+  }
+
+  private double wayMs(UpstreamEntry e, Ask ask) {
+    if (e.dataCentre().equals(ask.dataCentre())) {
+      return 0;
+    }
+    double kb = ask.bodyBytes() / 1_000.0;
+    return settings.crossDataCentreMs() + kb * settings.crossDataCentreMsPerKb();
+  }
+
+  private double expectedWaitMs(Ask ask) {
+    int slots = loads.values().stream().mapToInt(l -> l.entry().slots()).sum();
+    return (line.size() + 1) * workMs(ask) * meanPace / Math.max(1, slots);
+  }
+
+  private static long retryAfter(double waitMs) {
+    long ms = Math.round(waitMs);
+    return Math.max(SHORTEST_RETRY_AFTER_MS, Math.min(LONGEST_RETRY_AFTER_MS, ms));
+  }
+
+  private record Held(Ask ask, String upstream, long sinceMs) {}
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -0,0 +1,148 @@
+package dev.cactusstack.decisions.placing;
+
+import dev.cactusstack.model.site.UpstreamEntry;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a scheduler knows of one upstream: slots held, pace, faults.
+ *
+ * <p>Pace is how much longer work takes than usual. A report of it loses weight with age, in favour
+ * of the mean over all upstreams, because neighbours on the machine come and go. A held slot whose
+ * request is overdue is evidence too.
+ *
+ * <p>Confined to one thread.
+ */
+final class UpstreamLoad {
+  private static final double PACE_MEMORY_MS = 400;
+  private static final double FAULT_STEP = 0.35;
+  private static final double FAULT_LIMIT = 0.5;
+  private static final long REST_MS = 400;
+  private static final int MAX_REST_DOUBLINGS = 3;
+  private static final double OVERDUE_RATIO = 2.0;
+
+  private final Map<AskKey, Hold> holds = new HashMap<>();
+  private final ColdBound coldBound = new ColdBound();
+  private UpstreamEntry entry;
+  private long coldUntilMs;
+  private double pace = 1;
+  private long paceAtMs = Long.MIN_VALUE / 2;
+  private int foreign;
+  private long foreignAtMs = Long.MIN_VALUE / 2;
+  private double faults;
+  private int rests;
+  private long restUntilMs = Long.MIN_VALUE / 2;
+
+  UpstreamLoad(UpstreamEntry entry, long nowMs) {
+    this.entry = entry;
+    this.coldUntilMs = nowMs + entry.coldForMs();
+  }
+
+  UpstreamEntry entry() {
+    return entry;
+  }
+
+  void announce(UpstreamEntry e, long nowMs) {
+    if (!e.sameIncarnation(entry)) {
+      holds.clear();
+      faults = 0;
+      rests = 0;
+      restUntilMs = nowMs;
+    }
+    entry = e;
+    coldUntilMs = Math.max(coldUntilMs, nowMs + e.coldForMs());
+  }
+
+  boolean cold(long nowMs) {
+    return nowMs < coldUntilMs;
+  }
+
+  boolean coldAllows(int bound, long nowMs) {
+    return coldBound.allows(bound, nowMs);
+  }
+
+  boolean free(long nowMs) {
+    return occupied(nowMs) < entry.slots();
+  }
+
+  /** Slots taken: those held here, or more if the upstream has just said so. */
+  int occupied(long nowMs) {
+    boolean told = nowMs - foreignAtMs < PACE_MEMORY_MS / 2;
+    return holds.size() + (told ? foreign : 0);
+  }
+
+  boolean resting(long nowMs) {
+    return nowMs < restUntilMs;
+  }
+
+  /** After a rest one request at a time shows whether the upstream has recovered. */
+  boolean onTrial() {
+    return faults >= FAULT_LIMIT;
+  }
+
+  boolean idle() {
+    return holds.isEmpty();
+  }
+
+  void hold(AskKey key, double expectedMs, long nowMs) {
+    holds.put(key, new Hold(nowMs, expectedMs));
+    coldBound.count(nowMs);
+  }
+
+  void release(AskKey key) {
+    holds.remove(key);
+  }
+
+  /** Takes a report in. */
+  void ended(Report r, long nowMs) {
+    holds.remove(r.key());
+    r.load().ifPresent(l -> told(l, nowMs));
+    if (r.end().fault()) {
+      fault(nowMs);
+    } else if (r.end() == AttemptEnd.ANSWERED) {
+      faults *= 1 - FAULT_STEP;
+      rests = faults < FAULT_LIMIT ? 0 : rests;
+    }
+  }
+
+  private void told(LoadFigures l, long nowMs) {
+    pace = Math.max(0.1, l.pacePercent() / (double) LoadFigures.USUAL_PACE);
+    paceAtMs = nowMs;
+    foreign = Math.max(0, l.running() + l.waiting() - holds.size());
+    foreignAtMs = nowMs;
+  }
+
+  private void fault(long nowMs) {
+    faults += (1 - faults) * FAULT_STEP;
+    if (faults >= FAULT_LIMIT) {
+      restUntilMs = nowMs + (REST_MS << Math.min(rests, MAX_REST_DOUBLINGS));
+      rests++;
+    }
+  }
+
+  double faults() {
+    return faults;
+  }
+
+  /** How much longer than usual work is expected to take now. */
+  double expectedPace(double meanPace, long nowMs) {
+    double weight = Math.exp(-Math.max(0, nowMs - paceAtMs) / PACE_MEMORY_MS);
+    return Math.max(pace * weight + meanPace * (1 - weight), overdue(nowMs));
+  }
+
+  private double overdue(long nowMs) {
+    double worst = 0;
+    for (Hold h : holds.values()) {
+      double ratio = (nowMs - h.sinceMs) / Math.max(1, h.expectedMs);
+      worst = Math.max(worst, ratio);
+    }
+    return worst >= OVERDUE_RATIO ? worst : 0;
+  }
+
+  /** Frees slots whose report is not going to come. */
+  void dropHoldsBefore(long sinceMs) {
+    holds.values().removeIf(h -> h.sinceMs < sinceMs);
+  }
+
+  private record Hold(long sinceMs, double expectedMs) {}
+}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/WorkTimes.java
@@ -0,0 +1,26 @@
+package dev.cactusstack.decisions.placing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long the requests of each route take on an undisturbed upstream: an exponentially weighted
+ * mean of answer times divided by the pace that came with them. Confined to one thread.
+ */
+final class WorkTimes {
+  private static final double STEP = 0.05;
+  private static final double FIRST_GUESS_OF_OBJECTIVE = 0.3;
+
+  private final Map<String, Double> means = new HashMap<>();
+
+  double of(String route, long objectiveMs) {
+    Double mean = means.get(route);
+    return mean != null ? mean : Math.max(1, objectiveMs * FIRST_GUESS_OF_OBJECTIVE);
+  }
+
+  void took(String route, long objectiveMs, double ms, double pace) {
+    double usual = ms / Math.max(1, pace);
+    double mean = of(route, objectiveMs);
+    means.put(route, mean + (usual - mean) * STEP);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -0,0 +1,256 @@
+package dev.cactusstack.gateway;
+
+import dev.cactusstack.decisions.directory.DirectoryPolicy;
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.gateway.callers.CallersPort;
+import dev.cactusstack.gateway.callers.Filter;
+import dev.cactusstack.gateway.callers.RequestTools;
+import dev.cactusstack.gateway.callers.ServeFilter;
+import dev.cactusstack.gateway.control.ConfigurationController;
+import dev.cactusstack.gateway.control.HostsController;
+import dev.cactusstack.gateway.control.UpstreamsController;
+import dev.cactusstack.gateway.net.ClientLimits;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.scheduling.Placement;
+import dev.cactusstack.gateway.scheduling.Schedulers;
+import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.gateway.site.UpstreamWire;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostEntry;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * An entry host: its ports, its controllers and its stop in good order.
+ *
+ * <p>Everything runs on one event loop, so nothing here takes a lock. Confined to that loop, but
+ * for the constructor.
+ */
+public final class Gateway {
+  private static final long SWEEP_MS = 1_000;
+  private static final long DEAD_AFTER_MS = 3_500;
+  private static final long ACCEPT_WHILE_LEAVING_MS = 3_000;
+  private static final long LEAVING_CHECK_MS = 50;
+  private static final long EXIT_MARGIN_MS = 500;
+  private static final int ENOUGH_HOSTS = 2;
+  private static final int MOST_HOSTS = 64;
+  private static final int CONNECT_TIMEOUT_MS = 400;
+  private static final long IDLE_CONNECTION_MS = 8_000;
+  private static final int MAX_ANSWER_BYTES = 16 << 20;
+  private static final double CROSS_DATA_CENTRE_MS = 12;
+  private static final double CROSS_DATA_CENTRE_MS_PER_KB = 1;
+  private static final double COLD_SHARE = 0.45;
+  private static final double REPEAT_SAFETY = 0.8;
+
+  private final GatewaySettings settings;
+  private final EventLoop loop;
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final Random random;
+  private final ConfigurationController configuration;
+  private final UpstreamsController upstreams;
+  private final HostsController hosts;
+  private final PeerTable peers;
+  private final Link link;
+  private final Placement placement;
+  private final HttpClient client;
+  private final CallersPort callers;
+  private final CallersPort readiness;
+  private final CallersPort directory;
+  private boolean leaving;
+
+  /**
+   * Creates a host that has not started.
+   *
+   * @param settings what the host is told
+   * @param loop the loop that everything runs on
+   * @param clock a steady clock, in milliseconds
+   * @param log where events are told
+   * @param random spreads choices that need no reason
+   * @param store what lasts
+   * @param wire header fields
+   * @param endpoints makes the filters for the site's questions to this host
+   */
+  public Gateway(
+      GatewaySettings settings,
+      EventLoop loop,
+      LongSupplier clock,
+      EventLog log,
+      Random random,
+      SiteStore store,
+      UpstreamWire wire,
+      Function<Gateway, Endpoints> endpoints) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.random = random;
+    this.configuration = new ConfigurationController(loop, clock, log, store);
+    this.upstreams = new UpstreamsController(loop, clock, log, store, configuration::inForce);
+    this.peers = new PeerTable(settings.host(), DEAD_AFTER_MS, random);
+    this.link = new Link(loop, log);
+    var self =
+        new HostEntry(
+            settings.host(), settings.dataCentre(), settings.callers(), settings.link(), 0);
+    this.hosts =
+        new HostsController(loop, clock, log, store, peers, link, configuration, self, random);
+    GatewaySettings.Bounds b = settings.bounds();
+    var schedulerSettings =
+        new SchedulerSettings(
+            CROSS_DATA_CENTRE_MS,
+            CROSS_DATA_CENTRE_MS_PER_KB,
+            COLD_SHARE,
+            b.coldFactor(),
+            b.coldSlack());
+    var schedulers = new Schedulers(loop, clock, schedulerSettings, upstreams);
+    this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
+    this.client =
+        new HttpClient(
+            loop,
+            new ClientLimits(CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, false, MAX_ANSWER_BYTES),
+            clock);
+    var budget =
+        new RequestTools.RepeatBudget(
+            b.repeatWindowMs(),
+            b.repeatRatio() * REPEAT_SAFETY,
+            () -> b.repeatAllowance() * REPEAT_SAFETY / peers.size());
+    var tools =
+        new RequestTools(settings.dataCentre(), loop, clock, log, wire, client, placement, budget);
+    Endpoints e = endpoints.apply(this);
+    this.callers = port(List.of(new ServeFilter(configuration, tools)));
+    this.readiness = port(List.of(e.readiness()));
+    this.directory = port(List.of(e.directory()));
+  }
+
+  /**
+   * The filters for the site's questions to a host.
+   *
+   * @param readiness tells whether the host is ready
+   * @param directory tells callers which addresses to use
+   */
+  public record Endpoints(Filter readiness, Filter directory) {}
+
+  private CallersPort port(List<Filter> chain) {
+    return new CallersPort(loop, chain, configuration::limits, clock);
+  }
+
+  /**
+   * Opens the ports and begins to follow the store.
+   *
+   * @return completes when all ports are open
+   */
+  public CompletableFuture<Void> start() {
+    var opened = new CompletableFuture<Void>();
+    callers
+        .open(settings.callers())
+        .addListener(f -> failIf(f.cause(), opened, settings.callers()));
+    readiness
+        .open(settings.readiness())
+        .addListener(f -> failIf(f.cause(), opened, settings.readiness()));
+    directory
+        .open(settings.directory())
+        .addListener(f -> failIf(f.cause(), opened, settings.directory()));
+    link.open(settings.link(), this::received)
+        .addListener(
+            f -> {
+              failIf(f.cause(), opened, settings.link());
+              opened.complete(null);
+            });
+    configuration.start(upstreams::configurationChanged);
+    hosts.start();
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    return opened;
+  }
+
+  private static void failIf(
+      @org.jspecify.annotations.Nullable Throwable cause,
+      CompletableFuture<Void> opened,
+      Address address) {
+    if (cause != null) {
+      opened.completeExceptionally(
+          new IllegalStateException("can't listen on " + address + ": free the port", cause));
+    }
+  }
+
+  private void received(LinkMessage m, Address from) {
+    if (m instanceof LinkMessage.Beat b) {
+      hosts.heard(b);
+    } else {
+      placement.received(m, from);
+    }
+  }
+
+  private void sweep() {
+    client.closeIdle();
+    callers.sweep();
+    readiness.sweep();
+    directory.sweep();
+  }
+
+  /**
+   * Tells whether callers should use this host.
+   *
+   * @return false before a configuration is known and once the host leaves
+   */
+  public boolean ready() {
+    return !leaving && configuration.inForce().isPresent();
+  }
+
+  /**
+   * Chooses the hosts that a caller is told to use.
+   *
+   * @param dataCentre the caller's data centre
+   * @return where to connect, never empty while this host is ready
+   */
+  public List<Address> addresses(String dataCentre) {
+    return new DirectoryPolicy(ENOUGH_HOSTS, MOST_HOSTS)
+        .choose(peers.usable(clock.getAsLong()), dataCentre, random).stream()
+            .map(HostEntry::callers)
+            .toList();
+  }
+
+  /**
+   * Leaves in good order: out of the directory at once, serving for as long as callers may still
+   * come, then until nothing is in flight.
+   *
+   * @return completes when the process can end
+   */
+  public CompletableFuture<Void> leave() {
+    var left = new CompletableFuture<Void>();
+    if (leaving) {
+      return left;
+    }
+    leaving = true;
+    log.event("leaving").with("in_flight", callers.inFlight()).write();
+    hosts.leave();
+    callers.lastAnswers();
+    loop.schedule(callers::stopListening, ACCEPT_WHILE_LEAVING_MS, TimeUnit.MILLISECONDS);
+    long startMs = clock.getAsLong();
+    leaveWhenQuiet(left, startMs);
+    return left;
+  }
+
+  private void leaveWhenQuiet(CompletableFuture<Void> left, long startMs) {
+    long passed = clock.getAsLong() - startMs;
+    boolean accepting = passed < ACCEPT_WHILE_LEAVING_MS;
+    if (!accepting) {
+      callers.closeQuiet();
+    }
+    boolean quiet = !accepting && callers.inFlight() == 0;
+    if (quiet || passed > settings.bounds().graceMs() - EXIT_MARGIN_MS) {
+      log.event("left").with("in_flight", callers.inFlight()).with("after_ms", passed).write();
+      left.complete(null);
+      return;
+    }
+    loop.schedule(() -> leaveWhenQuiet(left, startMs), LEAVING_CHECK_MS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
@@ -0,0 +1,71 @@
+package dev.cactusstack.gateway.callers;
+
+/** Why the system answers a request itself. Thread-safe. */
+public enum Refusal {
+  /** The header section or the body can't be read. */
+  MALFORMED(400, "the request can't be read", "send a well-formed HTTP/1.1 request"),
+  /** The request has no id. */
+  NO_ID(400, "the request has no id", "send a request id"),
+  /** No route matches. */
+  NO_ROUTE(404, "no route matches", "check host name and path"),
+  /** The body is larger than operators allow. */
+  BODY_TOO_LARGE(413, "the body is too large", "send a smaller body"),
+  /** The header section is larger than operators allow. */
+  HEADERS_TOO_LARGE(431, "the header section is too large", "send fewer header fields"),
+  /** What came from upstreams is no answer, and the request may have run. */
+  NO_ANSWER(502, "no whole answer came from an upstream", "find out whether the request ran"),
+  /** This host knows no configuration yet, or is stopping. */
+  NOT_READY(503, "this host is not ready", "ask for addresses again"),
+  /** No upstream can run the request in time. */
+  NO_ROOM(503, "no upstream has room", "come back after the time given"),
+  /** Every upstream tried said that it did not run the request. */
+  NOT_RUN(503, "upstreams did not run the request", "come back after the time given"),
+  /** The time is over, and the request may have run. */
+  LATE(504, "no answer came in time", "find out whether the request ran");
+
+  private final int status;
+  private final String title;
+  private final String remedy;
+
+  Refusal(int status, String title, String remedy) {
+    this.status = status;
+    this.title = title;
+    this.remedy = remedy;
+  }
+
+  /**
+   * Returns the status of the answer.
+   *
+   * @return an HTTP status
+   */
+  public int status() {
+    return status;
+  }
+
+  /**
+   * Returns what is the matter.
+   *
+   * @return plain text without quotes
+   */
+  public String title() {
+    return title;
+  }
+
+  /**
+   * Returns what the caller can do.
+   *
+   * @return plain text without quotes
+   */
+  public String remedy() {
+    return remedy;
+  }
+
+  /**
+   * Returns the word for logs and answers.
+   *
+   * @return lower case with hyphens
+   */
+  public String label() {
+    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
@@ -0,0 +1,397 @@
+package dev.cactusstack.gateway.callers;
+
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.AttemptEnd;
+import dev.cactusstack.decisions.placing.LoadFigures;
+import dev.cactusstack.decisions.placing.Report;
+import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.gateway.net.Exchange;
+import dev.cactusstack.gateway.net.Outgoing;
+import dev.cactusstack.gateway.net.Reply;
+import dev.cactusstack.gateway.observe.EventLine;
+import dev.cactusstack.model.site.RouteRule;
+import dev.cactusstack.model.site.UpstreamEntry;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request of a caller, from its arrival to its answer.
+ *
+ * <p>Invariants: the caller gets one answer. A request that may run only once is sent again only
+ * after proof that it did not run. It is answered as not run only when every attempt is proved not
+ * to have run. Confined to the event loop.
+ */
+final class RequestRun implements Filter.Running {
+  private static final int MISDIRECTED = 421;
+  private static final int SERVER_ERROR = 500;
+  private static final int SUCCESS = 200;
+  private static final int REDIRECT = 300;
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+  private static final int SENDS_BEYOND_ATTEMPTS = 2;
+  private static final long LEAST_TIME_MS = 5;
+  private static final long PROVED_IDLE_MS = 2_500;
+  private static final long EXCHANGE_SLACK_MS = 1_000;
+  private static final double HEDGE_FACTOR = 1.7;
+  private static final double FIRST_GUESS_OF_OBJECTIVE = 0.35;
+  private static final double ANSWER_TIME_STEP = 0.05;
+  private static final double WAIT_SHARE = 0.4;
+  private static final long REFUSED_RETRY_MS = 40;
+
+  private final RequestTools tools;
+  private final CallerRequest request;
+  private final String id;
+  private final RouteRule route;
+  private final Consumer<CallerAnswer> answer;
+  private final String service;
+  private final long endMs;
+  private final Set<String> tried = new HashSet<>();
+  private final List<Attempt> running = new ArrayList<>();
+  private @Nullable AskKey asking;
+  private @Nullable Future<?> endTimer;
+  private @Nullable Future<?> hedgeTimer;
+  private @Nullable Reply lastFailure;
+  private int sends;
+  private int arrivals;
+  private int runs;
+  private boolean mayHaveRun;
+  private boolean done;
+
+  RequestRun(
+      RequestTools tools,
+      CallerRequest request,
+      String id,
+      RouteRule route,
+      Consumer<CallerAnswer> answer) {
+    this.tools = tools;
+    this.request = request;
+    this.id = id;
+    this.route = route;
+    this.answer = answer;
+    this.service = tools.parts().next(route);
+    long callerMs = tools.wire().deadlineMs(request.headers()).orElse(route.timeoutMs());
+    this.endMs = request.arrivedMs() + Math.min(callerMs, route.timeoutMs());
+  }
+
+  void start() {
+    tools.repeats(service).request(now());
+    endTimer = tools.loop().schedule(this::timeOver, Math.max(1, left()), TimeUnit.MILLISECONDS);
+    ask();
+  }
+
+  @Override
+  public void cancel() {
+    if (done) {
+      return;
+    }
+    event("cancelled").with("attempts", sends).write();
+    done = true;
+    stopTimers();
+    withdraw();
+    if (route.kind().repeatable()) {
+      abandonAll(AttemptEnd.ABANDONED);
+    }
+  }
+
+  private void ask() {
+    AskKey key = tools.placement().nextKey();
+    asking = key;
+    long objective = Math.max(0, request.arrivedMs() + route.objectiveMs() - now());
+    long wait = Math.min(route.objectiveMs(), (long) (left() * WAIT_SHARE));
+    var ask =
+        new Ask(
+            key,
+            tools.dataCentre(),
+            route.name(),
+            route.priority(),
+            objective,
+            Math.max(0, wait),
+            request.body().length,
+            tried);
+    tools.placement().place(service, ask, this::decided);
+  }
+
+  private void decided(Verdict v) {
+    asking = null;
+    if (v instanceof Verdict.Placed p) {
+      placed(p);
+    } else if (v instanceof Verdict.TurnedAway t && running.isEmpty()) {
+      giveUp(Refusal.NO_ROOM, t.retryAfterMs());
+    }
+  }
+
+  private void placed(Verdict.Placed p) {
+    boolean again = arrivals > 0 || !running.isEmpty();
+    if (done || left() < LEAST_TIME_MS) {
+      report(p.key(), p.upstream(), AttemptEnd.UNUSED, 0, Optional.empty());
+      return;
+    }
+    if (again && !tools.mayRepeat(service)) {
+      report(p.key(), p.upstream(), AttemptEnd.UNUSED, 0, Optional.empty());
+      event("no_repeat").with("why", "budget").write();
+      if (running.isEmpty()) {
+        giveUp(Refusal.NOT_RUN, REFUSED_RETRY_MS);
+      }
+      return;
+    }
+    send(p);
+  }
+
+  private void send(Verdict.Placed p) {
+    UpstreamEntry u = p.upstream();
+    sends++;
+    tried.add(u.id());
+    HttpHeaders headers = ForwardedFields.of(request.headers());
+    tools.wire().address(headers, left(), u.id());
+    var attempt = new Attempt(p.key(), u, now());
+    running.add(attempt);
+    event("sent")
+        .with("upstream", u.id())
+        .with("address", u.address().toString())
+        .with("attempt", sends)
+        .with("waited_ms", now() - request.arrivedMs())
+        .with("left_ms", left())
+        .write();
+    var outgoing =
+        new Outgoing(
+            u.id() + '@' + u.address(),
+            u.address(),
+            request.method(),
+            request.target(),
+            headers,
+            request.body(),
+            this::mine,
+            route.kind().repeatable() ? Long.MAX_VALUE : PROVED_IDLE_MS);
+    attempt.exchange =
+        tools.client().send(outgoing, left() + EXCHANGE_SLACK_MS, reply -> ended(attempt, reply));
+    if (sends == 1 && route.kind().repeatable() && route.maxAttempts() > 1) {
+      hedgeTimer = tools.loop().schedule(this::hedge, hedgeAfter(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean mine(HttpHeaders h) {
+    return tools.wire().requestId(h).map(id::equals).orElseGet(() -> tools.wire().notRun(0, h));
+  }
+
+  private long hedgeAfter() {
+    double usual =
+        tools
+            .answerTimes()
+            .getOrDefault(route.name(), route.objectiveMs() * FIRST_GUESS_OF_OBJECTIVE);
+    return Math.max(1, Math.round(usual * HEDGE_FACTOR));
+  }
+
+  /** Sends the request to a second upstream while the first has not answered. */
+  private void hedge() {
+    if (!done && asking == null && running.size() == 1 && runs + 1 < route.maxAttempts()) {
+      event("hedge").with("after_ms", now() - running.get(0).sinceMs).write();
+      ask();
+    }
+  }
+
+  private void ended(Attempt a, Reply reply) {
+    running.remove(a);
+    Optional<LoadFigures> load =
+        reply instanceof Reply.Answer r ? tools.wire().load(r.headers()) : Optional.empty();
+    AttemptEnd end = judge(reply);
+    report(a.key, a.upstream, end, now() - a.sinceMs, load);
+    if (end != AttemptEnd.UNREACHABLE) {
+      arrivals++;
+    }
+    if (!end.notRun()) {
+      runs++;
+      mayHaveRun = true;
+    }
+    if (done) {
+      return;
+    }
+    if (end == AttemptEnd.ANSWERED && reply instanceof Reply.Answer r) {
+      learn(now() - a.sinceMs);
+      deliver(r);
+      return;
+    }
+    event("attempt_ended")
+        .with("upstream", a.upstream.id())
+        .with("end", end.name())
+        .with("cause", cause(reply))
+        .with("took_ms", now() - a.sinceMs)
+        .write();
+    next(end, reply);
+  }
+
+  private static String cause(Reply reply) {
+    if (reply instanceof Reply.Answer r) {
+      return "status " + r.status();
+    }
+    if (reply instanceof Reply.NotSent n) {
+      return n.cause();
+    }
+    return reply instanceof Reply.Broken b ? b.cause() : "late";
+  }
+
+  private AttemptEnd judge(Reply reply) {
+    if (reply instanceof Reply.NotSent) {
+      return AttemptEnd.UNREACHABLE;
+    }
+    if (reply instanceof Reply.Broken) {
+      return AttemptEnd.BROKEN;
+    }
+    if (!(reply instanceof Reply.Answer r)) {
+      return AttemptEnd.TIMED_OUT;
+    }
+    if (tools.wire().notRun(r.status(), r.headers())) {
+      return r.status() == MISDIRECTED ? AttemptEnd.WRONG_INSTANCE : AttemptEnd.REFUSED;
+    }
+    boolean success = r.status() >= SUCCESS && r.status() < REDIRECT;
+    if (success && !tools.wire().signed(r.headers())) {
+      return AttemptEnd.BROKEN;
+    }
+    return r.status() >= SERVER_ERROR ? AttemptEnd.FAILED : AttemptEnd.ANSWERED;
+  }
+
+  /** Decides what follows an attempt that brought no good answer. */
+  private void next(AttemptEnd end, Reply reply) {
+    if (!running.isEmpty() || asking != null) {
+      return;
+    }
+    boolean allowed = end.notRun() || route.kind().repeatable();
+    boolean attemptsLeft =
+        runs < route.maxAttempts() && sends < route.maxAttempts() + SENDS_BEYOND_ATTEMPTS;
+    lastFailure = reply;
+    if (allowed && attemptsLeft && left() > LEAST_TIME_MS) {
+      ask();
+      return;
+    }
+    giveUp(end.notRun() ? Refusal.NOT_RUN : Refusal.NO_ANSWER, REFUSED_RETRY_MS);
+  }
+
+  private void learn(long tookMs) {
+    tools
+        .answerTimes()
+        .merge(route.name(), (double) tookMs, (old, x) -> old + (x - old) * ANSWER_TIME_STEP);
+  }
+
+  private void deliver(Reply.Answer r) {
+    finish();
+    event("answered")
+        .with("status", r.status())
+        .with("attempts", sends)
+        .with("took_ms", now() - request.arrivedMs())
+        .write();
+    answer.accept(new CallerAnswer(r.status(), ForwardedFields.of(r.headers()), r.body()));
+  }
+
+  private void timeOver() {
+    if (done) {
+      return;
+    }
+    boolean sentAny = running.stream().anyMatch(a -> a.exchange != null && a.exchange.sent());
+    mayHaveRun |= sentAny;
+    abandonAll(AttemptEnd.TIMED_OUT);
+    giveUp(Refusal.LATE, REFUSED_RETRY_MS);
+  }
+
+  /** Answers a request that no upstream has served. */
+  private void giveUp(Refusal why, long retryAfterMs) {
+    finish();
+    if (lastFailure instanceof Reply.Answer r && mayHaveRun && passable(r)) {
+      event("answered").with("status", r.status()).with("attempts", sends).write();
+      answer.accept(new CallerAnswer(r.status(), ForwardedFields.of(r.headers()), r.body()));
+      return;
+    }
+    Refusal told = told(why);
+    event("refused")
+        .with("why", told.label())
+        .with("attempts", sends)
+        .with("took_ms", now() - request.arrivedMs())
+        .with("retry_ms", retryAfterMs)
+        .write();
+    CallerAnswer a = CallerAnswer.problem(told);
+    tools.wire().identify(a.headers(), id);
+    answer.accept(mayHaveRun ? a : a.retryAfter(retryAfterMs));
+  }
+
+  /** A refusal promises that the request did not run, so it must be true of every attempt. */
+  private Refusal told(Refusal why) {
+    if (!mayHaveRun) {
+      return why == Refusal.LATE || why == Refusal.NO_ANSWER ? Refusal.NO_ROOM : why;
+    }
+    return why == Refusal.LATE ? Refusal.LATE : Refusal.NO_ANSWER;
+  }
+
+  /** Tells whether an upstream's own failure can be passed on without promising too much. */
+  private boolean passable(Reply.Answer r) {
+    return tools.wire().signed(r.headers()) && !NOT_RUN_STATUSES.contains(r.status());
+  }
+
+  private void finish() {
+    done = true;
+    stopTimers();
+    withdraw();
+    // Attempts that are still running end by themselves; only their report is wanted.
+  }
+
+  private void abandonAll(AttemptEnd end) {
+    for (Attempt a : List.copyOf(running)) {
+      if (a.exchange != null) {
+        a.exchange.abandon();
+      }
+      report(a.key, a.upstream, end, now() - a.sinceMs, Optional.empty());
+    }
+    running.clear();
+  }
+
+  private void withdraw() {
+    if (asking != null) {
+      tools.placement().withdraw(asking);
+      asking = null;
+    }
+  }
+
+  private void stopTimers() {
+    if (endTimer != null) {
+      endTimer.cancel(false);
+    }
+    if (hedgeTimer != null) {
+      hedgeTimer.cancel(false);
+    }
+  }
+
+  private void report(
+      AskKey key, UpstreamEntry u, AttemptEnd end, long tookMs, Optional<LoadFigures> load) {
+    tools.placement().report(service, new Report(key, u.id(), end, tookMs, load));
+  }
+
+  private long now() {
+    return tools.clock().getAsLong();
+  }
+
+  private long left() {
+    return endMs - now();
+  }
+
+  private EventLine event(String name) {
+    return tools.log().event(name).with("id", id).with("route", route.name());
+  }
+
+  private static final class Attempt {
+    private final AskKey key;
+    private final UpstreamEntry upstream;
+    private final long sinceMs;
+    private @Nullable Exchange exchange;
+
+    Attempt(AskKey key, UpstreamEntry upstream, long sinceMs) {
+      this.key = key;
+      this.upstream = upstream;
+      this.sinceMs = sinceMs;
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
@@ -0,0 +1,95 @@
+package dev.cactusstack.gateway.callers;
+
+import dev.cactusstack.decisions.matching.WeightedParts;
+import dev.cactusstack.decisions.retries.RepeatWindow;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Placement;
+import dev.cactusstack.gateway.site.UpstreamWire;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * What requests need to run, shared by all of them. Confined to the event loop.
+ *
+ * @param dataCentre the name of this host's data centre
+ * @param loop the loop that everything runs on
+ * @param clock a steady clock, in milliseconds
+ * @param log where decisions are told
+ * @param wire header fields
+ * @param client connections to upstreams
+ * @param placement where requests get their places
+ * @param parts shares of split routes
+ * @param repeats budgets for repeats, by service
+ * @param answerTimes usual answer times, by route
+ * @param repeatBudget the bounds for repeats
+ */
+public record RequestTools(
+    String dataCentre,
+    EventLoop loop,
+    LongSupplier clock,
+    EventLog log,
+    UpstreamWire wire,
+    HttpClient client,
+    Placement placement,
+    WeightedParts parts,
+    Map<String, RepeatWindow> repeats,
+    Map<String, Double> answerTimes,
+    RepeatBudget repeatBudget) {
+
+  /**
+   * Creates tools with no history.
+   *
+   * @param dataCentre the name of this host's data centre
+   * @param loop the loop that everything runs on
+   * @param clock a steady clock, in milliseconds
+   * @param log where decisions are told
+   * @param wire header fields
+   * @param client connections to upstreams
+   * @param placement where requests get their places
+   * @param repeatBudget the bounds for repeats
+   */
+  public RequestTools(
+      String dataCentre,
+      EventLoop loop,
+      LongSupplier clock,
+      EventLog log,
+      UpstreamWire wire,
+      HttpClient client,
+      Placement placement,
+      RepeatBudget repeatBudget) {
+    this(
+        dataCentre,
+        loop,
+        clock,
+        log,
+        wire,
+        client,
+        placement,
+        new WeightedParts(),
+        new HashMap<>(),
+        new HashMap<>(),
+        repeatBudget);
+  }
+
+  RepeatWindow repeats(String service) {
+    return repeats.computeIfAbsent(
+        service, s -> new RepeatWindow(repeatBudget.windowMs, repeatBudget.ratio));
+  }
+
+  boolean mayRepeat(String service) {
+    return repeats(service).repeat(repeatBudget.allowance.getAsDouble(), clock.getAsLong());
+  }
+
+  /**
+   * The bounds for repeats of this host.
+   *
+   * @param windowMs length of the sliding window, in milliseconds
+   * @param ratio repeats allowed for each request
+   * @param allowance this host's part of the fixed allowance of a window
+   */
+  public record RepeatBudget(long windowMs, double ratio, DoubleSupplier allowance) {}
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ServeFilter.java
@@ -0,0 +1,63 @@
+package dev.cactusstack.gateway.callers;
+
+import dev.cactusstack.gateway.control.ConfigurationController;
+import dev.cactusstack.model.site.RouteRule;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Serves requests by the routes in force. Takes every request. Confined to the event loop. */
+public final class ServeFilter implements Filter {
+  private static final long NOT_READY_RETRY_MS = 300;
+
+  private final ConfigurationController configuration;
+  private final RequestTools tools;
+
+  /**
+   * Creates a filter.
+   *
+   * @param configuration the routes in force
+   * @param tools what requests need to run
+   */
+  public ServeFilter(ConfigurationController configuration, RequestTools tools) {
+    this.configuration = configuration;
+    this.tools = tools;
+  }
+
+  @Override
+  public Optional<Running> take(CallerRequest request, Consumer<CallerAnswer> answer) {
+    Optional<String> id = tools.wire().requestId(request.headers());
+    if (id.isEmpty()) {
+      return refuse(request, "", Refusal.NO_ID, answer);
+    }
+    if (configuration.inForce().isEmpty()) {
+      return refuse(request, id.get(), Refusal.NOT_READY, answer);
+    }
+    String host = request.headers().get(HttpHeaderNames.HOST, "");
+    Optional<RouteRule> route = configuration.routes().match(host, request.target());
+    if (route.isEmpty()) {
+      return refuse(request, id.get(), Refusal.NO_ROUTE, answer);
+    }
+    var run = new RequestRun(tools, request, id.get(), route.get(), answer);
+    run.start();
+    return Optional.of(run);
+  }
+
+  private Optional<Running> refuse(
+      CallerRequest request, String id, Refusal why, Consumer<CallerAnswer> answer) {
+    tools
+        .log()
+        .event("refused")
+        .with("id", id.isEmpty() ? "none" : id)
+        .with("why", why.label())
+        .with("target", request.target())
+        .with("version", configuration.inForce().map(c -> c.version()).orElse(0L))
+        .write();
+    CallerAnswer a = CallerAnswer.problem(why);
+    if (!id.isEmpty()) {
+      tools.wire().identify(a.headers(), id);
+    }
+    answer.accept(why == Refusal.NOT_READY ? a.retryAfter(NOT_READY_RETRY_MS) : a);
+    return Optional.of(Running.NOTHING);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -0,0 +1,241 @@
+package dev.cactusstack.gateway.control;
+
+import dev.cactusstack.decisions.matching.RouteTable;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.site.ConfigurationChange;
+import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.gateway.site.StoreFailure;
+import dev.cactusstack.model.site.CallerLimits;
+import dev.cactusstack.model.site.SiteConfiguration;
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The configuration in force.
+ *
+ * <p>Invariant: what is in force never goes back to an older revision. Confined to the event loop.
+ */
+public final class ConfigurationController {
+  private static final long WATCH_MS = 20_000;
+  private static final long WATCH_PATIENCE_MS = 300;
+  private static final long RETRY_MS = 250;
+
+  private final EventLoop loop;
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final SiteStore store;
+  private Runnable changed = () -> {};
+  private @Nullable SiteConfiguration inForce;
+  private RouteTable routes = new RouteTable(List.of());
+  private boolean whole;
+  private boolean rereading;
+  private boolean failing;
+  private long sinceMs;
+  private long changedAt;
+
+  /**
+   * Creates a controller that knows no configuration.
+   *
+   * @param loop the loop that everything runs on
+   * @param clock a steady clock, in milliseconds
+   * @param log where changes are told
+   * @param store where operators write
+   */
+  public ConfigurationController(
+      EventLoop loop, LongSupplier clock, EventLog log, SiteStore store) {
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.store = store;
+  }
+
+  /**
+   * Begins to follow the operators' configuration.
+   *
+   * @param listener runs after each change, on the event loop
+   */
+  public void start(Runnable listener) {
+    changed = listener;
+    follow();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration, or nothing before one is known
+   */
+  public Optional<SiteConfiguration> inForce() {
+    return Optional.ofNullable(inForce);
+  }
+
+  /**
+   * Returns the routes in force.
+   *
+   * @return the routes, none before a configuration is known
+   */
+  public RouteTable routes() {
+    return routes;
+  }
+
+  /**
+   * Returns what callers may send.
+   *
+   * @return bounds
+   */
+  public CallerLimits limits() {
+    return inForce == null ? CallerLimits.DEFAULT : inForce.limits();
+  }
+
+  /**
+   * Returns when the configuration in force was last changed.
+   *
+   * @return the store's revision of the change, 0 before one is known
+   */
+  public long changedAt() {
+    return changedAt;
+  }
+
+  /**
+   * Takes in that another host knows of a change. When the watch does not tell it soon, because its
+   * connection has gone silent, the configuration is read.
+   *
+   * @param revision the store's revision of the change
+   */
+  public void heardOf(long revision) {
+    if (!rereading && behind(revision)) {
+      rereading = true;
+      loop.schedule(() -> readIfBehind(revision), WATCH_PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean behind(long revision) {
+    return inForce == null || inForce.revision() < revision;
+  }
+
+  private void readIfBehind(long revision) {
+    if (!behind(revision)) {
+      rereading = false;
+      return;
+    }
+    log.event("configuration_watch_silent").with("revision", revision).write();
+    store
+        .readConfiguration()
+        .whenComplete(
+            (change, failure) -> {
+              rereading = false;
+              if (failure == null) {
+                apply(change);
+              }
+            });
+  }
+
+  private void follow() {
+    SiteConfiguration c = inForce;
+    CompletableFuture<ConfigurationChange> call =
+        c == null || !whole
+            ? store.readConfiguration()
+            : store.watchConfiguration(c.revision(), WATCH_MS);
+    call.whenComplete(
+        (change, failure) -> {
+          if (failure == null) {
+            recovered();
+            apply(change);
+            whole |= change.complete();
+            if (inForce == null) {
+              again();
+            } else {
+              follow();
+            }
+          } else {
+            failed(failure);
+          }
+        });
+  }
+
+  private void again() {
+    loop.schedule(this::follow, RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void recovered() {
+    if (failing) {
+      failing = false;
+      log.event("store_regained").with("after_ms", clock.getAsLong() - sinceMs).write();
+    }
+  }
+
+  private void failed(Throwable failure) {
+    if (failure instanceof StoreFailure f && f.kind() == StoreFailure.Kind.HISTORY_GONE) {
+      log.event("configuration_history_gone").write();
+      whole = false;
+      follow();
+      return;
+    }
+    if (!failing) {
+      failing = true;
+      sinceMs = clock.getAsLong();
+      log.event("store_lost").with("cause", String.valueOf(failure.getMessage())).write();
+    }
+    again();
+  }
+
+  private void apply(ConfigurationChange change) {
+    SiteConfiguration old = inForce;
+    if (old != null && change.revision() <= old.revision()) {
+      return;
+    }
+    changedAt = Math.max(changedAt, change.changedAt());
+    Set<String> evacuated = new HashSet<>();
+    if (old != null && !change.complete()) {
+      evacuated.addAll(old.evacuated());
+    }
+    change
+        .evacuations()
+        .forEach(
+            (dc, out) -> {
+              if (out) {
+                evacuated.add(dc);
+              } else {
+                evacuated.remove(dc);
+              }
+            });
+    SiteConfiguration next = merge(old, change, evacuated);
+    if (next == null) {
+      return;
+    }
+    inForce = next;
+    boolean newRules = old == null || old.version() != next.version();
+    if (newRules) {
+      routes = new RouteTable(next.routes());
+    }
+    if (old == null || newRules || !old.evacuated().equals(evacuated)) {
+      log.event("configuration")
+          .with("version", next.version())
+          .with("revision", next.revision())
+          .with("evacuated", evacuated.toString())
+          .write();
+      changed.run();
+    }
+  }
+
+  private static @Nullable SiteConfiguration merge(
+      @Nullable SiteConfiguration old, ConfigurationChange change, Set<String> evacuated) {
+    if (change.rules().isPresent()
+        && (old == null || change.rules().get().version() > old.version())) {
+      ConfigurationChange.Rules r = change.rules().get();
+      return new SiteConfiguration(
+          change.revision(), r.version(), r.routes(), r.services(), r.limits(), evacuated);
+    }
+    if (old == null) {
+      return null;
+    }
+    return new SiteConfiguration(
+        change.revision(), old.version(), old.routes(), old.services(), old.limits(), evacuated);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -0,0 +1,146 @@
+package dev.cactusstack.gateway.control;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.Pulse;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.model.site.HostEntry;
+import io.netty.channel.EventLoop;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * What this host believes of other hosts: it registers itself, learns who is registered, and
+ * gossips about who is alive. Confined to the event loop.
+ */
+public final class HostsController {
+  private static final long ROUND_MS = 400;
+  private static final int TOLD_EACH_ROUND = 3;
+  private static final int TOLD_WHEN_LEAVING = 16;
+  private static final int MOST_PULSES = 80;
+  private static final int MOST_NEWS = 8;
+  private static final long NEWS_MS = 6_000;
+  private static final long RETRY_MS = 400;
+
+  private final EventLoop loop;
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final SiteStore store;
+  private final PeerTable peers;
+  private final Link link;
+  private final ConfigurationController configuration;
+  private final HostEntry self;
+  private final Random random;
+
+  /**
+   * Creates a controller.
+   *
+   * @param loop the loop that everything runs on
+   * @param clock a steady clock, in milliseconds
+   * @param log where changes are told
+   * @param store where hosts are registered
+   * @param peers what is known of other hosts
+   * @param link the way to other hosts
+   * @param configuration whose revision is told along
+   * @param self this host's entry
+   * @param random chooses what is told
+   */
+  public HostsController(
+      EventLoop loop,
+      LongSupplier clock,
+      EventLog log,
+      SiteStore store,
+      PeerTable peers,
+      Link link,
+      ConfigurationController configuration,
+      HostEntry self,
+      Random random) {
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.store = store;
+    this.peers = peers;
+    this.link = link;
+    this.configuration = configuration;
+    this.self = self;
+    this.random = random;
+  }
+
+  /** Registers this host, and begins to gossip once that is done. */
+  public void start() {
+    peers.learn(self, clock.getAsLong());
+    register();
+  }
+
+  private void register() {
+    store
+        .register(self)
+        .thenCompose(
+            entry -> {
+              peers.learn(entry, clock.getAsLong());
+              return store.readHosts();
+            })
+        .whenComplete(
+            (all, failure) -> {
+              if (failure != null) {
+                log.event("register_failed")
+                    .with("cause", String.valueOf(failure.getMessage()))
+                    .write();
+                loop.schedule(this::register, RETRY_MS, TimeUnit.MILLISECONDS);
+                return;
+              }
+              all.forEach(e -> peers.learn(e, clock.getAsLong()));
+              log.event("registered").with("hosts", all.size()).write();
+              round();
+              loop.scheduleAtFixedRate(this::round, ROUND_MS, ROUND_MS, TimeUnit.MILLISECONDS);
+            });
+  }
+
+  /** Tells other hosts that this one gets no new callers. */
+  public void leave() {
+    peers.leave();
+    tell(TOLD_WHEN_LEAVING);
+  }
+
+  /**
+   * Takes in another host's gossip.
+   *
+   * @param beat the message
+   */
+  public void heard(LinkMessage.Beat beat) {
+    long now = clock.getAsLong();
+    for (HostEntry e : beat.news()) {
+      if (peers.learn(e, now)) {
+        log.event("host")
+            .with("name", e.name())
+            .with("data_centre", e.dataCentre())
+            .with("incarnation", e.incarnation())
+            .write();
+      }
+    }
+    peers.heard(beat.pulses(), now);
+    configuration.heardOf(beat.configurationRevision());
+  }
+
+  private void round() {
+    tell(TOLD_EACH_ROUND);
+  }
+
+  private void tell(int count) {
+    long now = clock.getAsLong();
+    List<Pulse> pulses = peers.round(now);
+    if (pulses.size() > MOST_PULSES) {
+      Collections.shuffle(pulses.subList(1, pulses.size()), random);
+      pulses = pulses.subList(0, MOST_PULSES);
+    }
+    var beat =
+        new LinkMessage.Beat(
+            configuration.changedAt(), peers.news(NEWS_MS, MOST_NEWS, now), pulses);
+    peers.targets(count, now).forEach(e -> link.send(beat, e.link()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/package-info.java
@@ -0,0 +1,5 @@
+/** Controllers: what the host believes of the configuration, upstreams and other hosts. */
+@NullMarked
+package dev.cactusstack.gateway.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -0,0 +1,182 @@
+package dev.cactusstack.gateway.net;
+
+import dev.cactusstack.model.Address;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * Exchanges requests with servers over kept connections.
+ *
+ * <p>Invariant: a connection carries one exchange at a time, and is kept only after a whole answer
+ * to a whole request with nothing after it. Confined to its event loop.
+ */
+public final class HttpClient {
+  private static final int MAX_LINE_BYTES = 16_384;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+  private static final int PROBE_AFTER_S = 1;
+  private static final int PROBES = 2;
+
+  private final EventLoop loop;
+  private final ClientLimits limits;
+  private final LongSupplier clock;
+  private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
+  private long opened;
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param loop the loop that everything runs on
+   * @param limits bounds of its connections
+   * @param clock a steady clock, in milliseconds
+   */
+  public HttpClient(EventLoop loop, ClientLimits limits, LongSupplier clock) {
+    this.loop = loop;
+    this.limits = limits;
+    this.clock = clock;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request the request
+   * @param timeoutMs longest time for the whole exchange, in milliseconds
+   * @param end receives the end, once
+   * @return the exchange
+   */
+  public Exchange send(Outgoing request, long timeoutMs, Consumer<Reply> end) {
+    var exchange = new Exchange(request, end);
+    exchange.watch(loop.schedule(exchange::late, Math.max(1, timeoutMs), TimeUnit.MILLISECONDS));
+    ServerConnection kept = takeIdle(request);
+    if (kept != null) {
+      kept.run(exchange);
+    } else {
+      connect(exchange);
+    }
+    return exchange;
+  }
+
+  /** Closes connections that have been idle too long. */
+  public void closeIdle() {
+    long now = clock.getAsLong();
+    for (Iterator<Deque<ServerConnection>> i = idle.values().iterator(); i.hasNext(); ) {
+      Deque<ServerConnection> pool = i.next();
+      while (!pool.isEmpty() && pool.peekLast().idleFor(now) >= pool.peekLast().keepMs()) {
+        pool.removeLast().close();
+      }
+      if (pool.isEmpty()) {
+        i.remove();
+      }
+    }
+  }
+
+  /**
+   * Counts the connections opened so far.
+   *
+   * @return the count
+   */
+  public long opened() {
+    return opened;
+  }
+
+  /**
+   * Tells whether a request could go on a kept connection.
+   *
+   * @param pool the pool's name
+   * @return true when an idle connection is there
+   */
+  public boolean hasIdle(String pool) {
+    return idle.containsKey(pool);
+  }
+
+  private @org.jspecify.annotations.Nullable ServerConnection takeIdle(Outgoing r) {
+    Deque<ServerConnection> pool = idle.get(r.pool());
+    if (pool == null) {
+      return null;
+    }
+    long now = clock.getAsLong();
+    ServerConnection c = pool.peekFirst();
+    boolean usable =
+        c != null && c.idleFor(now) <= Math.min(r.idleAtMostMs(), c.keepMs()) && c.open();
+    if (usable) {
+      pool.removeFirst();
+    }
+    if (pool.isEmpty()) {
+      idle.remove(r.pool());
+    }
+    return usable ? c : null;
+  }
+
+  private void connect(Exchange exchange) {
+    opened++;
+    var connection = new ServerConnection(this, exchange.request().pool(), limits);
+    Address a = exchange.request().address();
+    ChannelFuture f = bootstrap(connection).connect(a.ip(), a.port());
+    exchange.attach(f.channel());
+    f.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            connection.run(exchange);
+          } else {
+            exchange.end(new Reply.NotSent("connect: " + done.cause().getMessage()));
+          }
+        });
+  }
+
+  private Bootstrap bootstrap(ServerConnection connection) {
+    Bootstrap b =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs())
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel ch) {
+                    ch.pipeline()
+                        .addLast(
+                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(connection);
+                  }
+                });
+    if (limits.keepAliveProbes()) {
+      b.option(ChannelOption.SO_KEEPALIVE, true)
+          .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S)
+          .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_AFTER_S)
+          .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+    }
+    return b;
+  }
+
+  void keep(ServerConnection c) {
+    idle.computeIfAbsent(c.pool(), p -> new ArrayDeque<>()).addFirst(c);
+  }
+
+  void forget(ServerConnection c) {
+    Deque<ServerConnection> pool = idle.get(c.pool());
+    if (pool != null && pool.remove(c) && pool.isEmpty()) {
+      idle.remove(c.pool());
+    }
+  }
+
+  long now() {
+    return clock.getAsLong();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -0,0 +1,241 @@
+package dev.cactusstack.gateway.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection to a server.
+ *
+ * <p>An answer counts only when it is whole and bears the id of the request that waits; another
+ * answer is skipped, and the connection is closed after the exchange. Confined to the event loop.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+  private static final String TIMEOUT_FIELD = "timeout=";
+  private static final double KEEP_SHARE = 0.8;
+  private static final long MS_PER_SECOND = 1_000;
+  private static final HttpVersion VERSION = HttpVersion.HTTP_1_1;
+
+  private final HttpClient client;
+  private final String pool;
+  private final ClientLimits limits;
+  private @Nullable Channel channel;
+  private @Nullable Exchange exchange;
+  private @Nullable HttpResponse head;
+  private byte[] body = new byte[0];
+  private int bodyLength;
+  private boolean skipping;
+  private boolean reusable = true;
+  private boolean written;
+  private boolean reset;
+  private long idleSinceMs;
+  private long keepMs;
+
+  ServerConnection(HttpClient client, String pool, ClientLimits limits) {
+    this.client = client;
+    this.pool = pool;
+    this.limits = limits;
+    this.keepMs = limits.idleMs();
+  }
+
+  String pool() {
+    return pool;
+  }
+
+  boolean open() {
+    return channel != null && channel.isActive();
+  }
+
+  long idleFor(long nowMs) {
+    return nowMs - idleSinceMs;
+  }
+
+  long keepMs() {
+    return keepMs;
+  }
+
+  void close() {
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  void run(Exchange e) {
+    Channel ch = channel;
+    if (ch == null || e.ended()) {
+      close();
+      return;
+    }
+    exchange = e;
+    written = false;
+    e.attach(ch);
+    e.sending();
+    ChannelFuture f = ch.writeAndFlush(message(e.request()));
+    f.addListener(
+        done -> {
+          if (exchange == e) {
+            written = done.isSuccess();
+          }
+        });
+  }
+
+  private static DefaultFullHttpRequest message(Outgoing r) {
+    var m =
+        new DefaultFullHttpRequest(
+            VERSION, r.method(), r.target(), Unpooled.wrappedBuffer(r.body()));
+    m.headers().set(r.headers());
+    if (r.body().length > 0 || r.method().equals(HttpMethod.POST)) {
+      HttpUtil.setContentLength(m, r.body().length);
+    }
+    return m;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object msg) {
+    try {
+      read(msg);
+    } finally {
+      ReferenceCountUtil.release(msg);
+    }
+  }
+
+  private void read(Object msg) {
+    if (exchange == null) {
+      // Bytes that no request asked for: whatever comes next can't be told apart.
+      close();
+      return;
+    }
+    if (msg instanceof HttpResponse r) {
+      begin(r);
+    }
+    if (msg instanceof HttpContent c) {
+      append(c.content());
+      if (c.decoderResult().isFailure()) {
+        broken("not an answer");
+      } else if (msg instanceof LastHttpContent) {
+        whole();
+      }
+    }
+  }
+
+  private void begin(HttpResponse r) {
+    if (r.decoderResult().isFailure()) {
+      broken("not an answer");
+      return;
+    }
+    Exchange e = exchange;
+    skipping = e == null || !e.request().mine().test(r.headers());
+    head = r;
+    bodyLength = 0;
+  }
+
+  private void append(ByteBuf content) {
+    int n = content.readableBytes();
+    if (skipping || n == 0) {
+      return;
+    }
+    if (bodyLength + n > limits.maxAnswerBytes()) {
+      broken("answer too large");
+      return;
+    }
+    if (bodyLength + n > body.length) {
+      body = Arrays.copyOf(body, Math.max(bodyLength + n, body.length * 2));
+    }
+    content.readBytes(body, bodyLength, n);
+    bodyLength += n;
+  }
+
+  private void whole() {
+    HttpResponse r = head;
+    Exchange e = exchange;
+    if (r == null || e == null || reset) {
+      return;
+    }
+    if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      return;
+    }
+    if (skipping) {
+      reusable = false;
+      return;
+    }
+    reusable &= written && HttpUtil.isKeepAlive(r);
+    readKeepAlive(r);
+    var answer = new Reply.Answer(r.status().code(), r.headers(), Arrays.copyOf(body, bodyLength));
+    release();
+    e.end(answer);
+  }
+
+  private void readKeepAlive(HttpResponse r) {
+    String field = r.headers().get(HttpHeaderNames.KEEP_ALIVE);
+    int at = field == null ? -1 : field.indexOf(TIMEOUT_FIELD);
+    if (field == null || at < 0) {
+      return;
+    }
+    long seconds = 0;
+    for (int i = at + TIMEOUT_FIELD.length(); i < field.length(); i++) {
+      char c = field.charAt(i);
+      if (c < '0' || c > '9' || seconds > Integer.MAX_VALUE) {
+        break;
+      }
+      seconds = seconds * 10 + (c - '0');
+    }
+    keepMs = (long) (seconds * MS_PER_SECOND * KEEP_SHARE);
+  }
+
+  /** Makes the connection idle, or closes it when it can't be used again. */
+  private void release() {
+    exchange = null;
+    head = null;
+    body = new byte[0];
+    bodyLength = 0;
+    idleSinceMs = client.now();
+    if (reusable && open()) {
+      client.keep(this);
+    } else {
+      close();
+    }
+  }
+
+  private void broken(String cause) {
+    Exchange e = exchange;
+    exchange = null;
+    reusable = false;
+    close();
+    if (e != null) {
+      e.end(new Reply.Broken(cause));
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    reset = true;
+    broken("connection: " + cause.getMessage());
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    client.forget(this);
+    broken("connection closed");
+    ctx.fireChannelInactive();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Link.java
@@ -0,0 +1,107 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.model.Address;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/** Sends and receives datagrams of other hosts. Confined to the event loop. */
+public final class Link {
+  private final EventLoop loop;
+  private final EventLog log;
+  private @Nullable Channel channel;
+  private long sent;
+
+  /**
+   * Creates a link that is not open.
+   *
+   * @param loop the loop that everything runs on
+   * @param log where unreadable messages are told
+   */
+  public Link(EventLoop loop, EventLog log) {
+    this.loop = loop;
+    this.log = log;
+  }
+
+  /**
+   * Opens the link.
+   *
+   * @param address where to receive
+   * @param receiver gets each message with its sender
+   * @return completes when messages can arrive
+   */
+  public ChannelFuture open(Address address, BiConsumer<LinkMessage, Address> receiver) {
+    ChannelFuture f =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver(receiver))
+            .bind(address.ip(), address.port());
+    channel = f.channel();
+    return f;
+  }
+
+  /**
+   * Sends a message; it may get lost.
+   *
+   * @param m the message
+   * @param to where to
+   */
+  public void send(LinkMessage m, Address to) {
+    Channel ch = channel;
+    if (ch != null && ch.isActive()) {
+      sent++;
+      var bytes = Unpooled.wrappedBuffer(LinkCodec.encode(m));
+      ch.writeAndFlush(new DatagramPacket(bytes, new InetSocketAddress(to.ip(), to.port())));
+    }
+  }
+
+  /**
+   * Counts the messages sent so far.
+   *
+   * @return the count
+   */
+  public long sent() {
+    return sent;
+  }
+
+  /** Decodes datagrams. Confined to the event loop. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final BiConsumer<LinkMessage, Address> receiver;
+
+    Receiver(BiConsumer<LinkMessage, Address> receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
+      InetSocketAddress from = p.sender();
+      try {
+        LinkMessage m = LinkCodec.decode(ByteBufUtil.getBytes(p.content()));
+        receiver.accept(m, new Address(from.getAddress().getHostAddress(), from.getPort()));
+      } catch (IOException e) {
+        log.event("link_unreadable")
+            .with("from", String.valueOf(from))
+            .with("cause", String.valueOf(e.getMessage()))
+            .write();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.event("link_fault").with("cause", String.valueOf(cause)).write();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -0,0 +1,298 @@
+package dev.cactusstack.gateway.scheduling;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import dev.cactusstack.decisions.gossip.Pulse;
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.AttemptEnd;
+import dev.cactusstack.decisions.placing.LoadFigures;
+import dev.cactusstack.decisions.placing.Report;
+import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostEntry;
+import dev.cactusstack.model.site.UpstreamEntry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Writes messages between hosts with protobuf's basic types, in a fixed order without tags: all
+ * hosts of a site run the same version, and a host that restarts with another one is refused by the
+ * version byte. Stateless and thread-safe.
+ */
+public final class LinkCodec {
+  private static final int VERSION = 1;
+  private static final int MAX_ITEMS = 1_000;
+
+  private LinkCodec() {}
+
+  /**
+   * Encodes a message.
+   *
+   * @param m the message
+   * @return its bytes
+   */
+  public static byte[] encode(LinkMessage m) {
+    var bytes = new ByteArrayOutputStream();
+    CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+    try {
+      out.writeUInt32NoTag(VERSION);
+      write(out, m);
+      out.flush();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @param bytes its bytes
+   * @return the message
+   * @throws IOException if the bytes are no message of this version
+   */
+  public static LinkMessage decode(byte[] bytes) throws IOException {
+    CodedInputStream in = CodedInputStream.newInstance(bytes);
+    if (in.readUInt32() != VERSION) {
+      throw new IOException("another version");
+    }
+    try {
+      return Type.values()[count(in)].read(in);
+    } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+      throw new IOException("not a message", e);
+    }
+  }
+
+  private static void write(CodedOutputStream out, LinkMessage m) throws IOException {
+    if (m instanceof LinkMessage.Beat b) {
+      out.writeUInt32NoTag(Type.BEAT.ordinal());
+      writeBeat(out, b);
+    } else if (m instanceof LinkMessage.Asked a) {
+      out.writeUInt32NoTag(Type.ASKED.ordinal());
+      out.writeStringNoTag(a.service());
+      writeAsk(out, a.ask());
+    } else if (m instanceof LinkMessage.Decided d) {
+      out.writeUInt32NoTag(Type.DECIDED.ordinal());
+      writeVerdict(out, d.verdict());
+    } else if (m instanceof LinkMessage.Ended e) {
+      out.writeUInt32NoTag(Type.ENDED.ordinal());
+      writeEnded(out, e);
+    } else if (m instanceof LinkMessage.Withdrawn w) {
+      out.writeUInt32NoTag(Type.WITHDRAWN.ordinal());
+      out.writeStringNoTag(w.service());
+      writeKey(out, w.key());
+    }
+  }
+
+  /** The kinds of message, with how each is read. */
+  private enum Type {
+    BEAT {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return readBeat(in);
+      }
+    },
+    ASKED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.Asked(in.readString(), readAsk(in));
+      }
+    },
+    DECIDED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.Decided(readVerdict(in));
+      }
+    },
+    ENDED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return readEnded(in);
+      }
+    },
+    WITHDRAWN {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.Withdrawn(in.readString(), readKey(in));
+      }
+    };
+
+    abstract LinkMessage read(CodedInputStream in) throws IOException;
+  }
+
+  private static void writeBeat(CodedOutputStream out, LinkMessage.Beat b) throws IOException {
+    out.writeUInt64NoTag(b.configurationRevision());
+    out.writeUInt32NoTag(b.news().size());
+    for (HostEntry e : b.news()) {
+      out.writeStringNoTag(e.name());
+      out.writeStringNoTag(e.dataCentre());
+      writeAddress(out, e.callers());
+      writeAddress(out, e.link());
+      out.writeUInt64NoTag(e.incarnation());
+    }
+    out.writeUInt32NoTag(b.pulses().size());
+    for (Pulse p : b.pulses()) {
+      out.writeFixed32NoTag(p.host());
+      out.writeUInt64NoTag(p.incarnation());
+      out.writeUInt64NoTag(p.beat());
+      out.writeBoolNoTag(p.leaving());
+    }
+  }
+
+  private static LinkMessage readBeat(CodedInputStream in) throws IOException {
+    long revision = in.readUInt64();
+    List<HostEntry> news = new ArrayList<>();
+    for (int n = count(in); n > 0; n--) {
+      news.add(
+          new HostEntry(
+              in.readString(), in.readString(), readAddress(in), readAddress(in), in.readUInt64()));
+    }
+    List<Pulse> pulses = new ArrayList<>();
+    for (int n = count(in); n > 0; n--) {
+      pulses.add(new Pulse(in.readFixed32(), in.readUInt64(), in.readUInt64(), in.readBool()));
+    }
+    return new LinkMessage.Beat(revision, news, pulses);
+  }
+
+  private static void writeAsk(CodedOutputStream out, Ask a) throws IOException {
+    writeKey(out, a.key());
+    out.writeStringNoTag(a.dataCentre());
+    out.writeStringNoTag(a.route());
+    out.writeUInt32NoTag(a.priority());
+    out.writeUInt64NoTag(a.objectiveMs());
+    out.writeUInt64NoTag(a.waitMs());
+    out.writeUInt32NoTag(a.bodyBytes());
+    out.writeUInt32NoTag(a.tried().size());
+    for (String t : a.tried()) {
+      out.writeStringNoTag(t);
+    }
+  }
+
+  private static Ask readAsk(CodedInputStream in) throws IOException {
+    AskKey key = readKey(in);
+    String dataCentre = in.readString();
+    String route = in.readString();
+    int priority = in.readUInt32();
+    long objective = in.readUInt64();
+    long wait = in.readUInt64();
+    int body = in.readUInt32();
+    Set<String> tried = new HashSet<>();
+    for (int n = count(in); n > 0; n--) {
+      tried.add(in.readString());
+    }
+    return new Ask(key, dataCentre, route, priority, objective, wait, body, tried);
+  }
+
+  private static void writeVerdict(CodedOutputStream out, Verdict v) throws IOException {
+    writeKey(out, v.key());
+    if (v instanceof Verdict.Placed p) {
+      out.writeUInt32NoTag(1);
+      writeUpstream(out, p.upstream());
+    } else if (v instanceof Verdict.TurnedAway t) {
+      out.writeUInt32NoTag(2);
+      out.writeUInt64NoTag(t.retryAfterMs());
+    } else {
+      out.writeUInt32NoTag(0);
+    }
+  }
+
+  private static Verdict readVerdict(CodedInputStream in) throws IOException {
+    AskKey key = readKey(in);
+    return switch (in.readUInt32()) {
+      case 1 -> new Verdict.Placed(key, readUpstream(in));
+      case 2 -> new Verdict.TurnedAway(key, in.readUInt64());
+      default -> new Verdict.Waits(key);
+    };
+  }
+
+  private static void writeUpstream(CodedOutputStream out, UpstreamEntry u) throws IOException {
+    out.writeStringNoTag(u.id());
+    out.writeStringNoTag(u.service());
+    writeAddress(out, u.address());
+    out.writeStringNoTag(u.dataCentre());
+    out.writeUInt32NoTag(u.slots());
+    out.writeUInt64NoTag(u.bornMs());
+  }
+
+  private static UpstreamEntry readUpstream(CodedInputStream in) throws IOException {
+    return new UpstreamEntry(
+        in.readString(),
+        in.readString(),
+        readAddress(in),
+        in.readString(),
+        in.readUInt32(),
+        false,
+        0,
+        in.readUInt64());
+  }
+
+  private static void writeEnded(CodedOutputStream out, LinkMessage.Ended e) throws IOException {
+    out.writeStringNoTag(e.service());
+    out.writeUInt32NoTag(e.reports().size());
+    for (Report r : e.reports()) {
+      writeKey(out, r.key());
+      out.writeStringNoTag(r.upstream());
+      out.writeUInt32NoTag(r.end().ordinal());
+      out.writeUInt64NoTag(r.tookMs());
+      out.writeBoolNoTag(r.load().isPresent());
+      if (r.load().isPresent()) {
+        LoadFigures l = r.load().get();
+        out.writeUInt32NoTag(l.running());
+        out.writeUInt32NoTag(l.waiting());
+        out.writeUInt32NoTag(l.slots());
+        out.writeUInt32NoTag(l.pacePercent());
+      }
+    }
+  }
+
+  private static LinkMessage readEnded(CodedInputStream in) throws IOException {
+    String service = in.readString();
+    List<Report> reports = new ArrayList<>();
+    for (int n = count(in); n > 0; n--) {
+      AskKey key = readKey(in);
+      String upstream = in.readString();
+      AttemptEnd end = AttemptEnd.values()[count(in)];
+      long took = in.readUInt64();
+      Optional<LoadFigures> load =
+          in.readBool()
+              ? Optional.of(
+                  new LoadFigures(
+                      in.readUInt32(), in.readUInt32(), in.readUInt32(), in.readUInt32()))
+              : Optional.empty();
+      reports.add(new Report(key, upstream, end, took, load));
+    }
+    return new LinkMessage.Ended(service, reports);
+  }
+
+  private static void writeKey(CodedOutputStream out, AskKey k) throws IOException {
+    out.writeFixed32NoTag(k.host());
+    out.writeUInt64NoTag(k.number());
+  }
+
+  private static AskKey readKey(CodedInputStream in) throws IOException {
+    return new AskKey(in.readFixed32(), in.readUInt64());
+  }
+
+  private static void writeAddress(CodedOutputStream out, Address a) throws IOException {
+    out.writeStringNoTag(a.ip());
+    out.writeUInt32NoTag(a.port());
+  }
+
+  private static Address readAddress(CodedInputStream in) throws IOException {
+    return new Address(in.readString(), in.readUInt32());
+  }
+
+  private static int count(CodedInputStream in) throws IOException {
+    int n = in.readUInt32();
+    if (n < 0 || n > MAX_ITEMS) {
+      throw new IOException("too many items");
+    }
+    return n;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -0,0 +1,64 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.gossip.Pulse;
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.Report;
+import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.model.site.HostEntry;
+import java.util.List;
+
+/** What hosts tell each other, one datagram each. Implementations are immutable. */
+public sealed interface LinkMessage {
+  /**
+   * A round of gossip.
+   *
+   * @param configurationRevision the store's revision of the newest change that the sender knows
+   * @param news entries of hosts whose start is news, the sender's own first
+   * @param pulses heartbeat counters
+   */
+  record Beat(long configurationRevision, List<HostEntry> news, List<Pulse> pulses)
+      implements LinkMessage {
+    /** Copies the components. */
+    public Beat {
+      news = List.copyOf(news);
+      pulses = List.copyOf(pulses);
+    }
+  }
+
+  /**
+   * A request that wants an upstream.
+   *
+   * @param service the service's name
+   * @param ask the request
+   */
+  record Asked(String service, Ask ask) implements LinkMessage {}
+
+  /**
+   * What was decided about it.
+   *
+   * @param verdict the decision
+   */
+  record Decided(Verdict verdict) implements LinkMessage {}
+
+  /**
+   * Ends of attempts; the newest first, then some that were told before, as datagrams get lost.
+   *
+   * @param service the service's name
+   * @param reports the ends
+   */
+  record Ended(String service, List<Report> reports) implements LinkMessage {
+    /** Copies the components. */
+    public Ended {
+      reports = List.copyOf(reports);
+    }
+  }
+
+  /**
+   * A request that no longer wants a place.
+   *
+   * @param service the service's name
+   * @param key its ask
+   */
+  record Withdrawn(String service, AskKey key) implements LinkMessage {}
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -0,0 +1,305 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.AttemptEnd;
+import dev.cactusstack.decisions.placing.Report;
+import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.decisions.routing.Rendezvous;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostEntry;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gets a place for each request from the host that schedules its service.
+ *
+ * <p>Hosts that agree on who is alive agree on the scheduling host. One that does not answer is
+ * passed over for a while: the request goes to the next in rank, and then to this host's own
+ * scheduler. Confined to the event loop.
+ */
+public final class Placement {
+  private static final long ANSWER_TIMEOUT_MS = 60;
+  private static final long SUSPECT_MS = 1_000;
+  private static final int REMOTE_TRIES = 2;
+  private static final int REPEATED_REPORTS = 2;
+  private static final int RANKED = 4;
+  private static final long RANKING_MS = 250;
+
+  private final EventLoop loop;
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final Link link;
+  private final PeerTable peers;
+  private final Schedulers schedulers;
+  private final int self;
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private final Map<Long, Address> placedBy = new HashMap<>();
+  private final Map<Integer, Address> askers = new HashMap<>();
+  private final Map<Address, Long> suspects = new HashMap<>();
+  private final Map<Address, Deque<Report>> recent = new HashMap<>();
+  private final Map<String, Ranking> rankings = new HashMap<>();
+  private long lastNumber;
+
+  /**
+   * Creates a placement.
+   *
+   * @param loop the loop that everything runs on
+   * @param clock a steady clock, in milliseconds
+   * @param log where decisions are told
+   * @param link the way to other hosts
+   * @param peers who is alive
+   * @param schedulers this host's own schedulers
+   * @param selfName this host's name
+   */
+  public Placement(
+      EventLoop loop,
+      LongSupplier clock,
+      EventLog log,
+      Link link,
+      PeerTable peers,
+      Schedulers schedulers,
+      String selfName) {
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.link = link;
+    this.peers = peers;
+    this.schedulers = schedulers;
+    this.self = PeerTable.hash(selfName);
+    schedulers.onVerdict(this::deliver);
+  }
+
+  /**
+   * Numbers an ask.
+   *
+   * @return a key that no other ask of this site has
+   */
+  public AskKey nextKey() {
+    return new AskKey(self, ++lastNumber);
+  }
+
+  /**
+   * Asks for a place.
+   *
+   * @param service the service's name
+   * @param ask the request
+   * @param end receives one place or refusal
+   */
+  public void place(String service, Ask ask, Consumer<Verdict> end) {
+    ask(new Pending(service, ask, end));
+  }
+
+  /**
+   * Tells how an attempt ended.
+   *
+   * @param service the service's name
+   * @param r the end
+   */
+  public void report(String service, Report r) {
+    Address by = placedBy.remove(r.key().number());
+    if (by == null) {
+      schedulers.report(service, r);
+      return;
+    }
+    Deque<Report> last = recent.computeIfAbsent(by, a -> new ArrayDeque<>());
+    List<Report> told = new ArrayList<>();
+    told.add(r);
+    told.addAll(last);
+    last.addFirst(r);
+    while (last.size() > REPEATED_REPORTS) {
+      last.removeLast();
+    }
+    link.send(new LinkMessage.Ended(service, told), by);
+  }
+
+  /**
+   * Gives up waiting for a place.
+   *
+   * @param key the ask
+   */
+  public void withdraw(AskKey key) {
+    Pending p = pending.remove(key.number());
+    if (p == null) {
+      return;
+    }
+    p.stopTimer();
+    if (p.asked == null) {
+      schedulers.withdraw(p.service, key);
+    } else {
+      link.send(new LinkMessage.Withdrawn(p.service, key), p.asked);
+    }
+  }
+
+  /**
+   * Takes in a message of another host.
+   *
+   * @param m the message
+   * @param from its sender
+   */
+  public void received(LinkMessage m, Address from) {
+    if (m instanceof LinkMessage.Asked a) {
+      askers.put(a.ask().key().host(), from);
+      schedulers.ask(a.service(), a.ask());
+    } else if (m instanceof LinkMessage.Decided d) {
+      suspects.remove(from);
+      decided(d.verdict(), from);
+    } else if (m instanceof LinkMessage.Ended e) {
+      e.reports().forEach(r -> schedulers.report(e.service(), r));
+    } else if (m instanceof LinkMessage.Withdrawn w) {
+      schedulers.withdraw(w.service(), w.key());
+    }
+  }
+
+  private void ask(Pending p) {
+    Optional<Address> owner = p.tries < REMOTE_TRIES ? owner(p) : Optional.empty();
+    p.tries++;
+    pending.put(p.ask.key().number(), p);
+    if (owner.isEmpty()) {
+      p.asked = null;
+      schedulers.ask(p.service, p.ask);
+      return;
+    }
+    p.asked = owner.get();
+    p.startTimer(loop.schedule(() -> silent(p), ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+    link.send(new LinkMessage.Asked(p.service, p.ask), owner.get());
+  }
+
+  /** The host to ask, or nothing when it is this one. */
+  private Optional<Address> owner(Pending p) {
+    long now = clock.getAsLong();
+    for (HostEntry e : ranking(p.service, now)) {
+      Long suspected = suspects.get(e.link());
+      if (suspected == null || now - suspected >= SUSPECT_MS) {
+        return PeerTable.hash(e.name()) == self ? Optional.empty() : Optional.of(e.link());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private List<HostEntry> ranking(String service, long now) {
+    Ranking known = rankings.get(service);
+    if (known != null && now - known.sinceMs < RANKING_MS) {
+      return known.hosts;
+    }
+    Map<String, HostEntry> usable = new HashMap<>();
+    peers.usable(now).forEach(e -> usable.put(e.name(), e));
+    List<HostEntry> ranked =
+        Rendezvous.ranked(service, usable.keySet(), RANKED).stream().map(usable::get).toList();
+    rankings.put(service, new Ranking(ranked, now));
+    return ranked;
+  }
+
+  private void silent(Pending p) {
+    Address asked = p.asked;
+    if (pending.get(p.ask.key().number()) != p || asked == null) {
+      return;
+    }
+    suspects.put(asked, clock.getAsLong());
+    link.send(new LinkMessage.Withdrawn(p.service, p.ask.key()), asked);
+    log.event("scheduler_silent")
+        .with("service", p.service)
+        .with("asked", asked.toString())
+        .with("ask", p.ask.key().number())
+        .write();
+    if (p.waits) {
+      finish(p, new Verdict.TurnedAway(p.ask.key(), ANSWER_TIMEOUT_MS));
+    } else {
+      ask(p);
+    }
+  }
+
+  private void decided(Verdict v, Address from) {
+    Pending p = pending.get(v.key().number());
+    boolean expected = p != null && from.equals(p.asked);
+    if (p == null || !expected) {
+      if (v instanceof Verdict.Placed placed) {
+        giveBack(p, placed, from);
+      }
+      return;
+    }
+    if (v instanceof Verdict.Waits) {
+      p.stopTimer();
+      p.waits = true;
+      long wait = p.ask.waitMs() + ANSWER_TIMEOUT_MS;
+      p.startTimer(loop.schedule(() -> silent(p), wait, TimeUnit.MILLISECONDS));
+      return;
+    }
+    if (v instanceof Verdict.Placed) {
+      placedBy.put(v.key().number(), from);
+    }
+    finish(p, v);
+  }
+
+  private void giveBack(@Nullable Pending p, Verdict.Placed v, Address from) {
+    if (from.equals(placedBy.get(v.key().number()))) {
+      return;
+    }
+    var unused = new Report(v.key(), v.upstream().id(), AttemptEnd.UNUSED, 0, Optional.empty());
+    String service = p != null ? p.service : v.upstream().service();
+    link.send(new LinkMessage.Ended(service, List.of(unused)), from);
+  }
+
+  /** Passes on a verdict of this host's own schedulers. */
+  private void deliver(Verdict v) {
+    if (v.key().host() != self) {
+      Address asker = askers.get(v.key().host());
+      if (asker != null) {
+        link.send(new LinkMessage.Decided(v), asker);
+      }
+      return;
+    }
+    Pending p = pending.get(v.key().number());
+    if (p != null && p.asked == null && !(v instanceof Verdict.Waits)) {
+      finish(p, v);
+    }
+  }
+
+  private void finish(Pending p, Verdict v) {
+    pending.remove(p.ask.key().number());
+    p.stopTimer();
+    p.end.accept(v);
+  }
+
+  private record Ranking(List<HostEntry> hosts, long sinceMs) {}
+
+  private static final class Pending {
+    private final String service;
+    private final Ask ask;
+    private final Consumer<Verdict> end;
+    private int tries;
+    private boolean waits;
+    private @Nullable Address asked;
+    private @Nullable Future<?> timer;
+
+    Pending(String service, Ask ask, Consumer<Verdict> end) {
+      this.service = service;
+      this.ask = ask;
+      this.end = end;
+    }
+
+    void startTimer(Future<?> t) {
+      timer = t;
+    }
+
+    void stopTimer() {
+      if (timer != null) {
+        timer.cancel(false);
+        timer = null;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -0,0 +1,58 @@
+package dev.cactusstack.gateway.site;
+
+import dev.cactusstack.model.site.HostEntry;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What lasts: the operators' configuration, the upstreams' entries, and the hosts' entries.
+ *
+ * <p>Futures complete on the host's event loop, exceptionally with a {@link StoreFailure}.
+ */
+public interface SiteStore {
+  /**
+   * Reads the whole configuration.
+   *
+   * @return the configuration with its revision
+   */
+  CompletableFuture<ConfigurationChange> readConfiguration();
+
+  /**
+   * Waits for a change of the configuration.
+   *
+   * @param after the revision that is known
+   * @param waitMs longest time to wait, in milliseconds
+   * @return what has changed, possibly nothing
+   */
+  CompletableFuture<ConfigurationChange> watchConfiguration(long after, long waitMs);
+
+  /**
+   * Reads all upstreams.
+   *
+   * @return all entries
+   */
+  CompletableFuture<UpstreamChange> readUpstreams();
+
+  /**
+   * Reads which upstreams have changed.
+   *
+   * @param after the revision that is known
+   * @return what has changed, possibly nothing
+   */
+  CompletableFuture<UpstreamChange> changedUpstreams(long after);
+
+  /**
+   * Reads all hosts.
+   *
+   * @return their entries
+   */
+  CompletableFuture<List<HostEntry>> readHosts();
+
+  /**
+   * Writes this host's entry.
+   *
+   * @param entry the entry; its incarnation is not used
+   * @return the entry with the incarnation that the store gave it
+   */
+  CompletableFuture<HostEntry> register(HostEntry entry);
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamChange.java
@@ -0,0 +1,20 @@
+package dev.cactusstack.gateway.site;
+
+import dev.cactusstack.model.site.UpstreamEntry;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What the store says of upstreams. Immutable and thread-safe.
+ *
+ * @param revision the store's revision that this brings up to
+ * @param complete whether this is everything, so that what isn't named isn't there
+ * @param entries entries by identity; empty ones name no upstream
+ */
+public record UpstreamChange(
+    long revision, boolean complete, Map<String, Optional<UpstreamEntry>> entries) {
+  /** Copies the components. */
+  public UpstreamChange {
+    entries = Map.copyOf(entries);
+  }
+}
--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -12,7 +12,7 @@
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.HostId;
 import dev.cactusstack.model.Table;
-import dev.cactusstack.platform.TableStore;
+import dev.cactusstack.storage.TableStore;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/host/src/test/java/dev/cactusstack/host/control/EditServiceTest.java
+++ b/host/src/test/java/dev/cactusstack/host/control/EditServiceTest.java
@@ -17,7 +17,7 @@
 import dev.cactusstack.model.RouteColumn;
 import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.model.Table;
-import dev.cactusstack.platform.TableStore;
+import dev.cactusstack.storage.TableStore;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
--- a/platform/src/main/java/dev/cactusstack/platform/HostList.java
+++ b/storage/src/main/java/dev/cactusstack/storage/HostList.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.platform;
+package dev.cactusstack.storage;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/dev/cactusstack/platform/HttpPlatform.java
+++ b/storage/src/main/java/dev/cactusstack/storage/HttpPlatform.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.platform;
+package dev.cactusstack.storage;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusstack.http.HttpCall;
--- a/platform/src/main/java/dev/cactusstack/platform/TableStore.java
+++ b/storage/src/main/java/dev/cactusstack/storage/TableStore.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.platform;
+package dev.cactusstack.storage;
 
 import dev.cactusstack.model.DataCentreRow;
 import dev.cactusstack.model.Route;
--- a/platform/src/test/java/dev/cactusstack/platform/CucumberTest.java
+++ b/storage/src/test/java/dev/cactusstack/storage/CucumberTest.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.platform;
+package dev.cactusstack.storage;
 
 import static io.cucumber.junit.platform.engine.Constants.GLUE_PROPERTY_NAME;
 import static io.cucumber.junit.platform.engine.Constants.PLUGIN_PROPERTY_NAME;
@@ -11,7 +11,7 @@
 /** Runs the contract of the platform's interface. */
 @Suite
 @IncludeEngines("cucumber")
-@SelectPackages("dev.cactusstack.platform")
-@ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "dev.cactusstack.platform")
+@SelectPackages("dev.cactusstack.storage")
+@ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "dev.cactusstack.storage")
 @ConfigurationParameter(key = PLUGIN_PROPERTY_NAME, value = "summary")
 class CucumberTest {}
--- a/platform/src/test/java/dev/cactusstack/platform/PlatformSteps.java
+++ b/storage/src/test/java/dev/cactusstack/storage/PlatformSteps.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.platform;
+package dev.cactusstack.storage;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
