Probe upstreams of which nothing was heard lately; read all after a lost watch

Change: after every lost watch the whole configuration is read before watching again. Change: the scheduler probes such upstreams while fewer are known to be good than requests come in 150 ms.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/LoadFigures.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/LoadFigures.java
@@ -11,4 +11,9 @@
 public record LoadFigures(int running, int waiting, int slots, int pacePercent) {
   /** How long work takes on an undisturbed upstream, in percent. */
   public static final int USUAL_PACE = 100;
+
+  @Override
+  public String toString() {
+    return running + "," + waiting + "," + slots + "," + pacePercent;
+  }
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -4,6 +4,7 @@
 import dev.cactusstack.model.site.UpstreamEntry;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +22,9 @@
  * one thread.
  */
 public final class Scheduler {
-  private static final double OCCUPIED_WEIGHT = 0.6;
+  private static final double OCCUPIED_WEIGHT = 1.2;
+  private static final long FRESH_MS = 150;
+  private static final double ASK_RATE_MEMORY_MS = 1_000;
   private static final double FAULT_WEIGHT = 4;
   private static final double COLD_PACE = 2.5;
   private static final double MEAN_PACE_STEP = 0.05;
@@ -37,6 +40,8 @@
   private final WorkTimes workTimes = new WorkTimes();
   private double meanPace = 1.3;
   private int coldBound;
+  private double askRate;
+  private long askRateAtMs;
 
   /**
    * Creates a scheduler that knows no upstreams.
@@ -78,6 +83,8 @@
    * @return a place, a wait, or a refusal
    */
   public Verdict ask(Ask ask, long nowMs) {
+    askRate = askRate(nowMs) + 1 / ASK_RATE_MEMORY_MS;
+    askRateAtMs = nowMs;
     Optional<UpstreamLoad> best = line.size() > 0 ? Optional.empty() : best(ask, nowMs);
     if (best.isPresent()) {
       return place(ask, best.get(), nowMs);
@@ -110,13 +117,76 @@
       load.ended(r, nowMs);
     }
     if (r.end() == AttemptEnd.ANSWERED && r.load().isPresent()) {
+      learnMeanPace(r.load().get());
       double pace = r.load().get().pacePercent() / (double) LoadFigures.USUAL_PACE;
-      meanPace += (pace - meanPace) * MEAN_PACE_STEP;
       workTimes.took(h.ask.route(), h.ask.objectiveMs(), r.tookMs(), pace);
     }
     return fill(nowMs);
   }
 
+  /**
+   * Chooses upstreams to probe: those with room of which nothing was heard lately, while those
+   * known to be good are fewer than the requests that come before news of them does (after Prequal,
+   * 2024: probes ahead of the requests that need them).
+   *
+   * @param nowMs the present time on the same clock
+   * @return upstreams to probe now, those heard of least lately first
+   */
+  public List<UpstreamEntry> probes(long nowMs) {
+    List<UpstreamLoad> stale = new ArrayList<>();
+    int good = 0;
+    for (UpstreamLoad l : loads.values()) {
+      if (l.knownGood(FRESH_MS, nowMs) && l.free(nowMs)) {
+        good++;
+      } else if (probeHelps(l, nowMs)) {
+        stale.add(l);
+      }
+    }
+    int wanted = (int) Math.ceil(askRate(nowMs) * FRESH_MS) - good;
+    stale.sort(Comparator.comparingLong(l -> -l.paceAgeMs(nowMs)));
+    List<UpstreamEntry> out = new ArrayList<>();
+    for (UpstreamLoad l : stale.subList(0, Math.max(0, Math.min(wanted, stale.size())))) {
+      l.probeSent(nowMs);
+      out.add(l.entry());
+    }
+    return out;
+  }
+
+  private static boolean probeHelps(UpstreamLoad l, long nowMs) {
+    return l.paceAgeMs(nowMs) >= FRESH_MS
+        && l.sinceProbeMs(nowMs) >= FRESH_MS
+        && l.free(nowMs)
+        && !l.resting(nowMs)
+        && !l.cold(nowMs);
+  }
+
+  /** Requests a millisecond, as an exponentially weighted mean. */
+  private double askRate(long nowMs) {
+    return askRate * Math.exp(-(nowMs - askRateAtMs) / ASK_RATE_MEMORY_MS);
+  }
+
+  /**
+   * Takes in an upstream's answer to a probe.
+   *
+   * @param upstream the upstream's identity
+   * @param figures what it says of its load
+   * @param nowMs the present time on the same clock
+   * @return places for requests that waited
+   */
+  public List<Verdict> probed(String upstream, LoadFigures figures, long nowMs) {
+    UpstreamLoad load = loads.get(upstream);
+    if (load != null) {
+      load.probed(figures, nowMs);
+      learnMeanPace(figures);
+    }
+    return fill(nowMs);
+  }
+
+  private void learnMeanPace(LoadFigures figures) {
+    double pace = figures.pacePercent() / (double) LoadFigures.USUAL_PACE;
+    meanPace += (pace - meanPace) * MEAN_PACE_STEP;
+  }
+
   /**
    * Forgets a request that no longer wants a place.
    *
@@ -161,27 +231,24 @@
    *
    * @param upstream the upstream's identity
    * @param nowMs the present time on the same clock
-   * @return occupied slots, expected pace and faults
+   * @return occupied slots, expected pace and the age of its report, faults, requests waiting
    */
   public String describe(String upstream, long nowMs) {
     UpstreamLoad l = loads.get(upstream);
     if (l == null) {
       return "unknown";
     }
-    return "%d/%d:%.1f:%.2f"
-        .formatted(
-            l.occupied(nowMs), l.entry().slots(), l.expectedPace(meanPace, nowMs), l.faults());
-  }
-
-  /**
-   * Returns the usual answer time of a route.
-   *
-   * @param route the route's name
-   * @param objectiveMs its latency objective, in milliseconds
-   * @return milliseconds on an undisturbed upstream
-   */
-  public double usualMs(String route, long objectiveMs) {
-    return workTimes.of(route, objectiveMs);
+    return l.occupied(nowMs)
+        + "/"
+        + l.entry().slots()
+        + ",pace="
+        + Math.round(l.expectedPace(meanPace, nowMs) * LoadFigures.USUAL_PACE)
+        + ",age_ms="
+        + l.paceAgeMs(nowMs)
+        + ",faults="
+        + Math.round(l.faults() * LoadFigures.USUAL_PACE)
+        + ",waiting="
+        + line.size();
   }
 
   private List<Verdict> fill(long nowMs) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -15,6 +15,8 @@
  */
 final class UpstreamLoad {
   private static final double PACE_MEMORY_MS = 400;
+  private static final long MOST_AGE_MS = 1_000_000;
+  private static final double GOOD_PACE = 1.5;
   private static final double FAULT_STEP = 0.35;
   private static final double FAULT_LIMIT = 0.5;
   private static final long REST_MS = 400;
@@ -29,6 +31,7 @@
   private long paceAtMs = Long.MIN_VALUE / 2;
   private int foreign;
   private long foreignAtMs = Long.MIN_VALUE / 2;
+  private long probedAtMs = Long.MIN_VALUE / 2;
   private double faults;
   private int rests;
   private long restUntilMs = Long.MIN_VALUE / 2;
@@ -105,6 +108,24 @@
     }
   }
 
+  /** Takes in what the upstream answered to a probe. */
+  void probed(LoadFigures l, long nowMs) {
+    told(l, nowMs);
+  }
+
+  void probeSent(long nowMs) {
+    probedAtMs = nowMs;
+  }
+
+  long sinceProbeMs(long nowMs) {
+    return nowMs - probedAtMs;
+  }
+
+  /** Tells whether work on the upstream is known to take about as long as usual. */
+  boolean knownGood(long freshMs, long nowMs) {
+    return paceAgeMs(nowMs) < freshMs && pace < GOOD_PACE;
+  }
+
   private void told(LoadFigures l, long nowMs) {
     pace = Math.max(0.1, l.pacePercent() / (double) LoadFigures.USUAL_PACE);
     paceAtMs = nowMs;
@@ -124,6 +145,11 @@
     return faults;
   }
 
+  /** How old the last report of the pace is; about forever before the first. */
+  long paceAgeMs(long nowMs) {
+    return Math.min(nowMs - paceAtMs, MOST_AGE_MS);
+  }
+
   /** How much longer than usual work is expected to take now. */
   double expectedPace(double meanPace, long nowMs) {
     double weight = Math.exp(-Math.max(0, nowMs - paceAtMs) / PACE_MEMORY_MS);
--- /dev/null
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -0,0 +1,127 @@
+package dev.cactusstack.decisions.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class PeerTableTest {
+  private static final long ROUND_MS = 400;
+  private static final long DEAD_AFTER_MS = 3_500;
+
+  private static HostEntry host(String name, long incarnation) {
+    int port = 1_000 + Math.floorMod(name.hashCode(), 50_000);
+    return new HostEntry(
+        name, "dc", new Address("127.0.0.1", port), new Address("127.0.0.2", port), incarnation);
+  }
+
+  /** Hosts that gossip in virtual time; messages to and from the silent ones are lost. */
+  private static final class Site {
+    final Map<String, PeerTable> tables = new HashMap<>();
+    final Set<String> silent = new HashSet<>();
+    final List<String> names;
+    long nowMs;
+
+    Site(int hosts, long seed) {
+      var random = new SplittableRandom(seed);
+      names = IntStream.range(0, hosts).mapToObj(i -> "host-" + i).toList();
+      for (String n : names) {
+        var t = new PeerTable(n, DEAD_AFTER_MS, random.split());
+        names.forEach(o -> t.learn(host(o, 1), 0));
+        tables.put(n, t);
+      }
+    }
+
+    void run(long ms) {
+      for (long end = nowMs + ms; nowMs < end; nowMs += ROUND_MS) {
+        for (String n : names) {
+          if (!silent.contains(n)) {
+            tell(n);
+          }
+        }
+      }
+    }
+
+    private void tell(String from) {
+      PeerTable t = tables.get(from);
+      List<Pulse> pulses = t.round(nowMs);
+      for (HostEntry to : t.targets(3, nowMs)) {
+        if (!silent.contains(to.name())) {
+          tables.get(to.name()).heard(pulses, nowMs);
+        }
+      }
+    }
+
+    Set<String> usable(String at) {
+      return tables.get(at).usable(nowMs).stream()
+          .map(HostEntry::name)
+          .collect(Collectors.toSet());
+    }
+  }
+
+  @Test
+  void shouldKnowAllAsAliveWhenAllGossip() {
+    for (int hosts : new int[] {2, 13, 113}) {
+      var site = new Site(hosts, 7);
+      site.run(6_000);
+      for (String n : site.names) {
+        assertThat(site.usable(n)).as("%s of %d", n, hosts).hasSize(hosts);
+      }
+    }
+  }
+
+  @Test
+  void shouldTakeAHostForDeadWithinSixSecondsWhenItFallsSilent() {
+    for (int hosts : new int[] {13, 113}) {
+      var site = new Site(hosts, 11);
+      site.run(6_000);
+      site.silent.add("host-1");
+      site.run(6_000);
+      List<String> others = new ArrayList<>(site.names);
+      others.remove("host-1");
+      for (String n : others) {
+        assertThat(site.usable(n)).doesNotContain("host-1").hasSize(hosts - 1);
+      }
+    }
+  }
+
+  @Test
+  void shouldNotCountAHostAsAliveWhenItsCounterWasNeverHeardToRise() {
+    var t = new PeerTable("a", DEAD_AFTER_MS, new SplittableRandom(1));
+    t.learn(host("a", 1), 0);
+    t.learn(host("b", 1), 0);
+    assertThat(t.usable(0)).extracting(HostEntry::name).containsExactly("a");
+  }
+
+  @Test
+  void shouldIgnoreAnOldStartsCounterWhenTheHostHasStartedAgain() {
+    var t = new PeerTable("a", DEAD_AFTER_MS, new SplittableRandom(1));
+    t.learn(host("a", 1), 0);
+    t.learn(host("b", 5), 0);
+    t.heard(List.of(new Pulse(PeerTable.hash("b"), 4, 1_000, false)), 10);
+    assertThat(t.usable(20)).extracting(HostEntry::name).containsExactly("a");
+    t.heard(List.of(new Pulse(PeerTable.hash("b"), 5, 1, false)), 30);
+    assertThat(t.usable(40)).hasSize(2);
+  }
+
+  @Test
+  void shouldLeaveOutAHostWhenItTellsThatItIsLeaving() {
+    var site = new Site(13, 3);
+    site.run(4_000);
+    site.tables.get("host-2").leave();
+    site.run(2_000);
+    for (String n : site.names) {
+      assertThat(site.usable(n)).doesNotContain("host-2");
+    }
+  }
+}
--- /dev/null
+++ b/decisions/src/test/java/dev/cactusstack/decisions/retries/RepeatWindowTest.java
@@ -0,0 +1,42 @@
+package dev.cactusstack.decisions.retries;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RepeatWindowTest {
+  @Test
+  void shouldKeepTheBoundInEveryWindowWhenEveryRequestWantsARepeat() {
+    var window = new RepeatWindow(10_000, 0.2);
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    for (long now = 0; now < 60_000; now += 37) {
+      // A pause in the middle lets old requests leave the window before their repeats.
+      if (now < 20_000 || now > 33_000) {
+        window.request(now);
+        requests.add(now);
+      }
+      if (window.repeat(3, now)) {
+        repeats.add(now);
+      }
+    }
+    for (long start = 0; start < 50_000; start += 250) {
+      long from = start;
+      long n = requests.stream().filter(t -> t >= from - 10_000 && t < from + 10_000).count();
+      long r = repeats.stream().filter(t -> t >= from && t < from + 10_000).count();
+      assertThat(r).isLessThanOrEqualTo(Math.round(0.2 * n) + 6);
+    }
+    assertThat(repeats).hasSizeGreaterThan(200);
+  }
+
+  @Test
+  void shouldAllowTheAllowanceAndNoMoreWhenThereAreNoRequests() {
+    var window = new RepeatWindow(10_000, 0.2);
+    assertThat(window.repeat(2, 5)).isTrue();
+    assertThat(window.repeat(2, 6)).isTrue();
+    assertThat(window.repeat(2, 7)).isFalse();
+    assertThat(window.repeat(2, 10_600)).isTrue();
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.Placement;
+import dev.cactusstack.gateway.scheduling.Prober;
 import dev.cactusstack.gateway.scheduling.Schedulers;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamWire;
@@ -111,13 +112,13 @@
             COLD_SHARE,
             b.coldFactor(),
             b.coldSlack());
-    var schedulers = new Schedulers(loop, clock, schedulerSettings, upstreams);
-    this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
     this.client =
         new HttpClient(
             loop,
             new ClientLimits(CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, false, MAX_ANSWER_BYTES),
             clock);
+    var schedulers = new Schedulers(loop, clock, log, schedulerSettings, upstreams, new Prober(client, wire));
+    this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
     var budget =
         new RequestTools.RepeatBudget(
             b.repeatWindowMs(),
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
@@ -157,12 +157,13 @@
         .with("upstream", u.id())
         .with("address", u.address().toString())
         .with("attempt", sends)
+        .with("ask", p.key().number())
         .with("waited_ms", now() - request.arrivedMs())
         .with("left_ms", left())
         .write();
     var outgoing =
         new Outgoing(
-            u.id() + '@' + u.address(),
+            u.pool(),
             u.address(),
             request.method(),
             request.target(),
@@ -215,7 +216,7 @@
     }
     if (end == AttemptEnd.ANSWERED && reply instanceof Reply.Answer r) {
       learn(now() - a.sinceMs);
-      deliver(r);
+      deliver(r, a.upstream);
       return;
     }
     event("attempt_ended")
@@ -279,10 +280,12 @@
         .merge(route.name(), (double) tookMs, (old, x) -> old + (x - old) * ANSWER_TIME_STEP);
   }
 
-  private void deliver(Reply.Answer r) {
+  private void deliver(Reply.Answer r, UpstreamEntry by) {
     finish();
     event("answered")
         .with("status", r.status())
+        .with("upstream", by.id())
+        .with("load", tools.wire().load(r.headers()).map(LoadFigures::toString).orElse("untold"))
         .with("attempts", sends)
         .with("took_ms", now() - request.arrivedMs())
         .write();
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -171,9 +171,11 @@
   }
 
   private void failed(Throwable failure) {
+    // A watch that ended may have missed changes and, set up again, may not tell them: read all.
+    boolean watching = whole;
+    whole = false;
     if (failure instanceof StoreFailure f && f.kind() == StoreFailure.Kind.HISTORY_GONE) {
       log.event("configuration_history_gone").write();
-      whole = false;
       follow();
       return;
     }
@@ -182,7 +184,11 @@
       sinceMs = clock.getAsLong();
       log.event("store_lost").with("cause", String.valueOf(failure.getMessage())).write();
     }
-    again();
+    if (watching) {
+      follow();
+    } else {
+      again();
+    }
   }
 
   private void apply(ConfigurationChange change) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -132,7 +132,7 @@
     return configuration
         .get()
         .map(c -> c.services().get(service))
-        .orElseGet(() -> new ServiceRule(service, 1, 0, 0));
+        .orElseGet(() -> new ServiceRule(service, "", 1, 0, 0));
   }
 
   private boolean evacuated(String dataCentre) {
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Prober.java
@@ -0,0 +1,66 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.placing.LoadFigures;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.net.Outgoing;
+import dev.cactusstack.gateway.net.Reply;
+import dev.cactusstack.gateway.site.UpstreamWire;
+import dev.cactusstack.model.site.UpstreamEntry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.function.Consumer;
+
+/** Asks upstreams for their load, outside any request. Confined to the event loop. */
+public final class Prober {
+  private static final long TIMEOUT_MS = 300;
+
+  private final HttpClient client;
+  private final UpstreamWire wire;
+  private long sent;
+
+  /**
+   * Creates a prober.
+   *
+   * @param client connections to upstreams
+   * @param wire header fields
+   */
+  public Prober(HttpClient client, UpstreamWire wire) {
+    this.client = client;
+    this.wire = wire;
+  }
+
+  /**
+   * Counts the probes sent so far.
+   *
+   * @return the count
+   */
+  public long sent() {
+    return sent;
+  }
+
+  void probe(UpstreamEntry u, String path, Consumer<LoadFigures> figures) {
+    sent++;
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.HOST, u.address().toString());
+    var request =
+        new Outgoing(
+            u.pool(),
+            u.address(),
+            HttpMethod.GET,
+            path,
+            headers,
+            new byte[0],
+            h -> wire.answersProbe(h, u.id()),
+            Long.MAX_VALUE);
+    client.send(
+        request,
+        TIMEOUT_MS,
+        reply -> {
+          if (reply instanceof Reply.Answer a) {
+            wire.load(a.headers()).ifPresent(figures);
+          }
+        });
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
@@ -7,6 +7,9 @@
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.placing.Verdict;
 import dev.cactusstack.gateway.control.UpstreamsController;
+import dev.cactusstack.gateway.observe.EventLine;
+import dev.cactusstack.model.site.UpstreamEntry;
+import dev.cactusstack.gateway.observe.EventLog;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
@@ -21,32 +24,44 @@
  */
 public final class Schedulers {
   private static final long TICK_MS = 20;
+  private static final long PROBE_TICK_MS = 50;
+  private static final long PROBE_WHILE_ASKED_MS = 1_000;
 
   private final EventLoop loop;
   private final LongSupplier clock;
+  private final EventLog log;
   private final SchedulerSettings settings;
   private final UpstreamsController upstreams;
+  private final Prober prober;
   private final Map<String, Scheduler> byService = new HashMap<>();
+  private final Map<String, Long> askedAt = new HashMap<>();
   private Consumer<Verdict> verdicts = v -> {};
   private boolean ticking;
+  private boolean probing;
 
   /**
    * Creates schedulers for no service.
    *
    * @param loop the loop that everything runs on
    * @param clock a steady clock, in milliseconds
+   * @param log where decisions are told
    * @param settings what schedulers go by
    * @param upstreams which upstreams there are
+   * @param prober asks upstreams for their load
    */
   public Schedulers(
       EventLoop loop,
       LongSupplier clock,
+      EventLog log,
       SchedulerSettings settings,
-      UpstreamsController upstreams) {
+      UpstreamsController upstreams,
+      Prober prober) {
     this.loop = loop;
     this.clock = clock;
+    this.log = log;
     this.settings = settings;
     this.upstreams = upstreams;
+    this.prober = prober;
     upstreams.onChange(this::refresh);
   }
 
@@ -57,15 +72,17 @@
   void ask(String service, Ask ask) {
     upstreams.whenFresh(
         () -> {
-          deliver(List.of(scheduler(service).ask(ask, clock.getAsLong())));
+          deliver(service, List.of(scheduler(service).ask(ask, clock.getAsLong())));
           tickSoon();
+          askedAt.put(service, clock.getAsLong());
+          probeSoon();
         });
   }
 
   void report(String service, Report r) {
     Scheduler s = byService.get(service);
     if (s != null) {
-      deliver(s.report(r, clock.getAsLong()));
+      deliver(service, s.report(r, clock.getAsLong()));
     }
   }
 
@@ -76,18 +93,6 @@
     }
   }
 
-  /**
-   * Says what this host knows of an upstream, for a log line.
-   *
-   * @param service the service's name
-   * @param upstream the upstream's identity
-   * @return a few figures
-   */
-  public String describe(String service, String upstream) {
-    Scheduler s = byService.get(service);
-    return s == null ? "elsewhere" : s.describe(upstream, clock.getAsLong());
-  }
-
   private Scheduler scheduler(String service) {
     Scheduler s = byService.get(service);
     if (s == null) {
@@ -104,10 +109,49 @@
         (service, s) -> s.upstreams(upstreams.rule(service), upstreams.usable(service), now));
   }
 
-  private void deliver(List<Verdict> list) {
+  private void deliver(String service, List<Verdict> list) {
+    list.forEach(v -> tell(service, v));
     list.forEach(verdicts);
   }
 
+  private void tell(String service, Verdict v) {
+    EventLine line = log.event("decided").with("service", service);
+    line.with("asker", v.key().host()).with("ask", v.key().number());
+    if (v instanceof Verdict.Placed p) {
+      String figures = scheduler(service).describe(p.upstream().id(), clock.getAsLong());
+      line.with("outcome", "placed").with("upstream", p.upstream().id()).with("knew", figures);
+    } else if (v instanceof Verdict.TurnedAway t) {
+      line.with("outcome", "turned-away").with("retry_ms", t.retryAfterMs());
+    } else {
+      line.with("outcome", "waits");
+    }
+    line.write();
+  }
+
+  private void probeSoon() {
+    if (!probing) {
+      probing = true;
+      loop.schedule(this::probe, PROBE_TICK_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void probe() {
+    probing = false;
+    long now = clock.getAsLong();
+    askedAt.values().removeIf(at -> now - at > PROBE_WHILE_ASKED_MS);
+    for (String service : askedAt.keySet()) {
+      Scheduler s = scheduler(service);
+      String path = upstreams.rule(service).healthPath();
+      for (UpstreamEntry u : path.isEmpty() ? List.<UpstreamEntry>of() : s.probes(now)) {
+        prober.probe(
+            u, path, figures -> deliver(service, s.probed(u.id(), figures, clock.getAsLong())));
+      }
+    }
+    if (!askedAt.isEmpty()) {
+      probeSoon();
+    }
+  }
+
   private void tickSoon() {
     if (!ticking && byService.values().stream().anyMatch(Scheduler::busy)) {
       ticking = true;
@@ -118,9 +162,9 @@
   private void tick() {
     ticking = false;
     long now = clock.getAsLong();
-    for (Scheduler s : List.copyOf(byService.values())) {
-      if (s.busy()) {
-        deliver(s.tick(now));
+    for (Map.Entry<String, Scheduler> e : List.copyOf(byService.entrySet())) {
+      if (e.getValue().busy()) {
+        deliver(e.getKey(), e.getValue().tick(now));
       }
     }
     tickSoon();
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamWire.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamWire.java
@@ -49,6 +49,15 @@
    */
   boolean notRun(int status, HttpHeaders headers);
 
+  /**
+   * Tells whether an answer is the one to a probe.
+   *
+   * @param headers the answer's header fields
+   * @param upstream identity of the upstream that was probed
+   * @return true when that upstream answers a probe
+   */
+  boolean answersProbe(HttpHeaders headers, String upstream);
+
   /**
    * Tells whether an answer bears the upstream's signature.
    *
--- a/model/src/main/java/dev/cactusstack/model/site/UpstreamEntry.java
+++ b/model/src/main/java/dev/cactusstack/model/site/UpstreamEntry.java
@@ -32,6 +32,15 @@
     Objects.requireNonNull(dataCentre, "dataCentre is null");
   }
 
+  /**
+   * Names the connections to this upstream.
+   *
+   * @return a name that no upstream at another address, and no other at this one, has
+   */
+  public String pool() {
+    return id + '@' + address;
+  }
+
   /**
    * Tells whether an older entry describes the same incarnation.
    *
