A host that does not reach the store does not schedule for others; hedge by the objective

Change: gossip tells who reaches the store; a host with entries older than 1.3 s passes asks of others on while others reach it.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -36,7 +36,7 @@
     this.self = hash(selfName);
     this.deadAfterMs = deadAfterMs;
     this.random = random;
-    this.own = new Pulse(self, 0, 0, false);
+    this.own = new Pulse(self, 0, 0, false, true);
   }
 
   /**
@@ -63,9 +63,9 @@
     if (p != null && p.entry.incarnation() >= e.incarnation()) {
       return false;
     }
-    peers.put(id, new Peer(e, new Pulse(id, e.incarnation(), 0, false), nowMs));
+    peers.put(id, new Peer(e, new Pulse(id, e.incarnation(), 0, false, false), nowMs));
     if (id == self) {
-      own = new Pulse(self, e.incarnation(), own.beat(), own.leaving());
+      own = new Pulse(self, e.incarnation(), own.beat(), own.leaving(), own.informed());
     }
     return true;
   }
@@ -95,11 +95,12 @@
   /**
    * Starts a round.
    *
+   * @param informed whether this host reaches the store
    * @param nowMs the present time on the same clock
    * @return the counters to tell
    */
-  public List<Pulse> round(long nowMs) {
-    own = new Pulse(self, own.incarnation(), own.beat() + 1, own.leaving());
+  public List<Pulse> round(boolean informed, long nowMs) {
+    own = new Pulse(self, own.incarnation(), own.beat() + 1, own.leaving(), informed);
     List<Pulse> out = new ArrayList<>();
     out.add(own);
     for (Peer p : peers.values()) {
@@ -154,7 +155,7 @@
 
   /** Begins to tell that this host is leaving. */
   public void leave() {
-    own = new Pulse(self, own.incarnation(), own.beat(), true);
+    own = new Pulse(self, own.incarnation(), own.beat(), true, own.informed());
   }
 
   /**
@@ -174,6 +175,22 @@
     return out;
   }
 
+  /**
+   * Tells whether another host reaches the store.
+   *
+   * @param nowMs the present time on the same clock
+   * @return true when a usable host other than this one has said so
+   */
+  public boolean othersInformed(long nowMs) {
+    return peers.values().stream()
+        .anyMatch(
+            p ->
+                p.pulse.host() != self
+                    && p.pulse.informed()
+                    && !p.pulse.leaving()
+                    && alive(p, nowMs));
+  }
+
   /**
    * Counts the registered hosts, dead or alive.
    *
--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/Pulse.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/Pulse.java
@@ -7,8 +7,9 @@
  * @param incarnation which start of the host; a higher one is later
  * @param beat heartbeats since that start
  * @param leaving whether the host is leaving
+ * @param informed whether the host reaches the store
  */
-public record Pulse(int host, long incarnation, long beat, boolean leaving) {
+public record Pulse(int host, long incarnation, long beat, boolean leaving, boolean informed) {
   /**
    * Tells whether this is newer.
    *
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/LoadFigures.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/LoadFigures.java
@@ -12,6 +12,15 @@
   /** How long work takes on an undisturbed upstream, in percent. */
   public static final int USUAL_PACE = 100;
 
+  /**
+   * Returns how much longer than usual work takes.
+   *
+   * @return 1 as usual
+   */
+  public double pace() {
+    return pacePercent / (double) USUAL_PACE;
+  }
+
   @Override
   public String toString() {
     return running + "," + waiting + "," + slots + "," + pacePercent;
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -118,8 +118,7 @@
     }
     if (r.end() == AttemptEnd.ANSWERED && r.load().isPresent()) {
       learnMeanPace(r.load().get());
-      double pace = r.load().get().pacePercent() / (double) LoadFigures.USUAL_PACE;
-      workTimes.took(h.ask.route(), h.ask.objectiveMs(), r.tookMs(), pace);
+      workTimes.took(h.ask.route(), h.ask.objectiveMs(), r.tookMs(), r.load().get().pace());
     }
     return fill(nowMs);
   }
@@ -183,8 +182,7 @@
   }
 
   private void learnMeanPace(LoadFigures figures) {
-    double pace = figures.pacePercent() / (double) LoadFigures.USUAL_PACE;
-    meanPace += (pace - meanPace) * MEAN_PACE_STEP;
+    meanPace += (figures.pace() - meanPace) * MEAN_PACE_STEP;
   }
 
   /**
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -127,7 +127,7 @@
   }
 
   private void told(LoadFigures l, long nowMs) {
-    pace = Math.max(0.1, l.pacePercent() / (double) LoadFigures.USUAL_PACE);
+    pace = Math.max(0.1, l.pace());
     paceAtMs = nowMs;
     foreign = Math.max(0, l.running() + l.waiting() - holds.size());
     foreignAtMs = nowMs;
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -54,7 +54,7 @@
 
     private void tell(String from) {
       PeerTable t = tables.get(from);
-      List<Pulse> pulses = t.round(nowMs);
+      List<Pulse> pulses = t.round(true, nowMs);
       for (HostEntry to : t.targets(3, nowMs)) {
         if (!silent.contains(to.name())) {
           tables.get(to.name()).heard(pulses, nowMs);
@@ -108,9 +108,9 @@
     var t = new PeerTable("a", DEAD_AFTER_MS, new SplittableRandom(1));
     t.learn(host("a", 1), 0);
     t.learn(host("b", 5), 0);
-    t.heard(List.of(new Pulse(PeerTable.hash("b"), 4, 1_000, false)), 10);
+    t.heard(List.of(new Pulse(PeerTable.hash("b"), 4, 1_000, false, true)), 10);
     assertThat(t.usable(20)).extracting(HostEntry::name).containsExactly("a");
-    t.heard(List.of(new Pulse(PeerTable.hash("b"), 5, 1, false)), 30);
+    t.heard(List.of(new Pulse(PeerTable.hash("b"), 5, 1, false, true)), 30);
     assertThat(t.usable(40)).hasSize(2);
   }
 
@@ -124,4 +124,14 @@
       assertThat(site.usable(n)).doesNotContain("host-2");
     }
   }
+
+  @Test
+  void shouldTellWhetherOthersReachTheStoreWhenThisHostDoesNot() {
+    var site = new Site(3, 5);
+    site.run(4_000);
+    assertThat(site.tables.get("host-0").othersInformed(site.nowMs)).isTrue();
+    site.silent.addAll(List.of("host-1", "host-2"));
+    site.run(4_000);
+    assertThat(site.tables.get("host-0").othersInformed(site.nowMs)).isFalse();
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -50,7 +50,8 @@
   private static final double CROSS_DATA_CENTRE_MS = 12;
   private static final double CROSS_DATA_CENTRE_MS_PER_KB = 1;
   private static final double COLD_SHARE = 0.45;
-  private static final double REPEAT_SAFETY = 0.8;
+  private static final double REPEAT_RATIO_SHARE = 0.9;
+  private static final double REPEAT_ALLOWANCE_SHARE = 0.8;
 
   private final GatewaySettings settings;
   private final EventLoop loop;
@@ -103,7 +104,8 @@
         new HostEntry(
             settings.host(), settings.dataCentre(), settings.callers(), settings.link(), 0);
     this.hosts =
-        new HostsController(loop, clock, log, store, peers, link, configuration, self, random);
+        new HostsController(loop, clock, log, store, peers, link, configuration, self, random,
+            () -> !configuration.failing() && !upstreams.failing());
     GatewaySettings.Bounds b = settings.bounds();
     var schedulerSettings =
         new SchedulerSettings(
@@ -117,13 +119,14 @@
             loop,
             new ClientLimits(CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, false, MAX_ANSWER_BYTES),
             clock);
-    var schedulers = new Schedulers(loop, clock, log, schedulerSettings, upstreams, new Prober(client, wire));
+    var schedulers = new Schedulers(loop, clock, log, schedulerSettings, upstreams, new Prober(client, wire),
+            () -> peers.othersInformed(clock.getAsLong()));
     this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
     var budget =
         new RequestTools.RepeatBudget(
             b.repeatWindowMs(),
-            b.repeatRatio() * REPEAT_SAFETY,
-            () -> b.repeatAllowance() * REPEAT_SAFETY / peers.size());
+            b.repeatRatio() * REPEAT_RATIO_SHARE,
+            () -> b.repeatAllowance() * REPEAT_ALLOWANCE_SHARE / peers.size());
     var tools =
         new RequestTools(settings.dataCentre(), loop, clock, log, wire, client, placement, budget);
     Endpoints e = endpoints.apply(this);
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.placing.LoadFigures;
 import dev.cactusstack.decisions.placing.Report;
 import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.decisions.retries.HedgeDelay;
 import dev.cactusstack.gateway.net.Exchange;
 import dev.cactusstack.gateway.net.Outgoing;
 import dev.cactusstack.gateway.net.Reply;
@@ -40,9 +41,6 @@
   private static final long LEAST_TIME_MS = 5;
   private static final long PROVED_IDLE_MS = 2_500;
   private static final long EXCHANGE_SLACK_MS = 1_000;
-  private static final double HEDGE_FACTOR = 1.7;
-  private static final double FIRST_GUESS_OF_OBJECTIVE = 0.35;
-  private static final double ANSWER_TIME_STEP = 0.05;
   private static final double WAIT_SHARE = 0.4;
   private static final long REFUSED_RETRY_MS = 40;
 
@@ -183,11 +181,8 @@
   }
 
   private long hedgeAfter() {
-    double usual =
-        tools
-            .answerTimes()
-            .getOrDefault(route.name(), route.objectiveMs() * FIRST_GUESS_OF_OBJECTIVE);
-    return Math.max(1, Math.round(usual * HEDGE_FACTOR));
+    double usual = tools.workTimes().of(route.name(), route.objectiveMs());
+    return HedgeDelay.ms(usual, request.arrivedMs() + route.objectiveMs() - now());
   }
 
   /** Sends the request to a second upstream while the first has not answered. */
@@ -215,7 +210,7 @@
       return;
     }
     if (end == AttemptEnd.ANSWERED && reply instanceof Reply.Answer r) {
-      learn(now() - a.sinceMs);
+      learn(now() - a.sinceMs, load);
       deliver(r, a.upstream);
       return;
     }
@@ -274,10 +269,9 @@
     giveUp(end.notRun() ? Refusal.NOT_RUN : Refusal.NO_ANSWER, REFUSED_RETRY_MS);
   }
 
-  private void learn(long tookMs) {
-    tools
-        .answerTimes()
-        .merge(route.name(), (double) tookMs, (old, x) -> old + (x - old) * ANSWER_TIME_STEP);
+  private void learn(long tookMs, Optional<LoadFigures> load) {
+    double pace = load.map(LoadFigures::pace).orElse(1.0);
+    tools.workTimes().took(route.name(), route.objectiveMs(), tookMs, pace);
   }
 
   private void deliver(Reply.Answer r, UpstreamEntry by) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.callers;
 
 import dev.cactusstack.decisions.matching.WeightedParts;
+import dev.cactusstack.decisions.placing.WorkTimes;
 import dev.cactusstack.decisions.retries.RepeatWindow;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -24,7 +25,7 @@
  * @param placement where requests get their places
  * @param parts shares of split routes
  * @param repeats budgets for repeats, by service
- * @param answerTimes usual answer times, by route
+ * @param workTimes usual answer times, by route
  * @param repeatBudget the bounds for repeats
  */
 public record RequestTools(
@@ -37,7 +38,7 @@
     Placement placement,
     WeightedParts parts,
     Map<String, RepeatWindow> repeats,
-    Map<String, Double> answerTimes,
+    WorkTimes workTimes,
     RepeatBudget repeatBudget) {
 
   /**
@@ -71,7 +72,7 @@
         placement,
         new WeightedParts(),
         new HashMap<>(),
-        new HashMap<>(),
+        new WorkTimes(),
         repeatBudget);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -102,6 +102,15 @@
     return changedAt;
   }
 
+  /**
+   * Tells whether the store does not answer.
+   *
+   * @return true from a failed call until the next that succeeds
+   */
+  public boolean failing() {
+    return failing;
+  }
+
   /**
    * Takes in that another host knows of a change. When the watch does not tell it soon, because its
    * connection has gone silent, the configuration is read.
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -36,6 +37,7 @@
   private final ConfigurationController configuration;
   private final HostEntry self;
   private final Random random;
+  private final BooleanSupplier informed;
 
   /**
    * Creates a controller.
@@ -49,6 +51,7 @@
    * @param configuration whose revision is told along
    * @param self this host's entry
    * @param random chooses what is told
+   * @param informed whether this host reaches the store
    */
   public HostsController(
       EventLoop loop,
@@ -59,7 +62,8 @@
       Link link,
       ConfigurationController configuration,
       HostEntry self,
-      Random random) {
+      Random random,
+      BooleanSupplier informed) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
@@ -69,6 +73,7 @@
     this.configuration = configuration;
     this.self = self;
     this.random = random;
+    this.informed = informed;
   }
 
   /** Registers this host, and begins to gossip once that is done. */
@@ -133,7 +138,7 @@
 
   private void tell(int count) {
     long now = clock.getAsLong();
-    List<Pulse> pulses = peers.round(now);
+    List<Pulse> pulses = peers.round(informed.getAsBoolean(), now);
     if (pulses.size() > MOST_PULSES) {
       Collections.shuffle(pulses.subList(1, pulses.size()), random);
       pulses = pulses.subList(0, MOST_PULSES);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -28,6 +28,7 @@
 public final class UpstreamsController {
   private static final long POLL_MS = 700;
   private static final long FRESH_MS = 1_000;
+  private static final long STALE_MS = 1_300;
   private static final long USED_MS = 4_000;
   private static final long READ_PATIENCE_MS = 150;
   private static final long LAPSE_MS = 2_200;
@@ -104,6 +105,24 @@
     read();
   }
 
+  /**
+   * Tells whether what is believed is older than an upstream's leaving may go unnoticed.
+   *
+   * @return true when the entries could not be read lately
+   */
+  public boolean stale() {
+    return clock.getAsLong() - readAtMs > STALE_MS;
+  }
+
+  /**
+   * Tells whether the last read of the entries failed.
+   *
+   * @return true until a read succeeds
+   */
+  public boolean failing() {
+    return failedAtMs > readAtMs;
+  }
+
   /**
    * Lists the upstreams that may get work.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -87,6 +87,9 @@
       out.writeUInt32NoTag(Type.WITHDRAWN.ordinal());
       out.writeStringNoTag(w.service());
       writeKey(out, w.key());
+    } else if (m instanceof LinkMessage.Unable u) {
+      out.writeUInt32NoTag(Type.UNABLE.ordinal());
+      writeKey(out, u.key());
     }
   }
 
@@ -121,6 +124,12 @@
       LinkMessage read(CodedInputStream in) throws IOException {
         return new LinkMessage.Withdrawn(in.readString(), readKey(in));
       }
+    },
+    UNABLE {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.Unable(readKey(in));
+      }
     };
 
     abstract LinkMessage read(CodedInputStream in) throws IOException;
@@ -142,6 +151,7 @@
       out.writeUInt64NoTag(p.incarnation());
       out.writeUInt64NoTag(p.beat());
       out.writeBoolNoTag(p.leaving());
+      out.writeBoolNoTag(p.informed());
     }
   }
 
@@ -155,7 +165,9 @@
     }
     List<Pulse> pulses = new ArrayList<>();
     for (int n = count(in); n > 0; n--) {
-      pulses.add(new Pulse(in.readFixed32(), in.readUInt64(), in.readUInt64(), in.readBool()));
+      pulses.add(
+          new Pulse(
+              in.readFixed32(), in.readUInt64(), in.readUInt64(), in.readBool(), in.readBool()));
     }
     return new LinkMessage.Beat(revision, news, pulses);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -61,4 +61,11 @@
    * @param key its ask
    */
   record Withdrawn(String service, AskKey key) implements LinkMessage {}
+
+  /**
+   * An ask that the sender does not decide, because it does not reach the store.
+   *
+   * @param key the ask
+   */
+  record Unable(AskKey key) implements LinkMessage {}
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -153,10 +153,15 @@
   public void received(LinkMessage m, Address from) {
     if (m instanceof LinkMessage.Asked a) {
       askers.put(a.ask().key().host(), from);
-      schedulers.ask(a.service(), a.ask());
+      schedulers.ask(a.service(), a.ask(), () -> link.send(new LinkMessage.Unable(key(a)), from));
     } else if (m instanceof LinkMessage.Decided d) {
       suspects.remove(from);
       decided(d.verdict(), from);
+    } else if (m instanceof LinkMessage.Unable u) {
+      Pending p = pending.get(u.key().number());
+      if (p != null && from.equals(p.asked)) {
+        passOver(p, from, "unable");
+      }
     } else if (m instanceof LinkMessage.Ended e) {
       e.reports().forEach(r -> schedulers.report(e.service(), r));
     } else if (m instanceof LinkMessage.Withdrawn w) {
@@ -164,6 +169,10 @@
     }
   }
 
+  private static AskKey key(LinkMessage.Asked a) {
+    return a.ask().key();
+  }
+
   private void ask(Pending p) {
     Optional<Address> owner = p.tries < REMOTE_TRIES ? owner(p) : Optional.empty();
     p.tries++;
@@ -208,9 +217,16 @@
     if (pending.get(p.ask.key().number()) != p || asked == null) {
       return;
     }
-    suspects.put(asked, clock.getAsLong());
     link.send(new LinkMessage.Withdrawn(p.service, p.ask.key()), asked);
-    log.event("scheduler_silent")
+    passOver(p, asked, "silent");
+  }
+
+  /** Asks the next host, and none of this one's asks goes to the given one for a while. */
+  private void passOver(Pending p, Address asked, String why) {
+    p.stopTimer();
+    suspects.put(asked, clock.getAsLong());
+    log.event("scheduler_passed_over")
+        .with("why", why)
         .with("service", p.service)
         .with("asked", asked.toString())
         .with("ask", p.ask.key().number())
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -33,6 +34,7 @@
   private final SchedulerSettings settings;
   private final UpstreamsController upstreams;
   private final Prober prober;
+  private final BooleanSupplier othersInformed;
   private final Map<String, Scheduler> byService = new HashMap<>();
   private final Map<String, Long> askedAt = new HashMap<>();
   private Consumer<Verdict> verdicts = v -> {};
@@ -48,6 +50,7 @@
    * @param settings what schedulers go by
    * @param upstreams which upstreams there are
    * @param prober asks upstreams for their load
+   * @param othersInformed whether another host reaches the store
    */
   public Schedulers(
       EventLoop loop,
@@ -55,13 +58,15 @@
       EventLog log,
       SchedulerSettings settings,
       UpstreamsController upstreams,
-      Prober prober) {
+      Prober prober,
+      BooleanSupplier othersInformed) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.settings = settings;
     this.upstreams = upstreams;
     this.prober = prober;
+    this.othersInformed = othersInformed;
     upstreams.onChange(this::refresh);
   }
 
@@ -69,16 +74,31 @@
     verdicts = receiver;
   }
 
+  /** Decides about an ask of this host itself, with whatever is known. */
   void ask(String service, Ask ask) {
+    upstreams.whenFresh(() -> decide(service, ask));
+  }
+
+  /** Decides about an ask of another host, unless others know more than this one. */
+  void ask(String service, Ask ask, Runnable unable) {
     upstreams.whenFresh(
         () -> {
-          deliver(service, List.of(scheduler(service).ask(ask, clock.getAsLong())));
-          tickSoon();
-          askedAt.put(service, clock.getAsLong());
-          probeSoon();
+          if (upstreams.stale() && othersInformed.getAsBoolean()) {
+            unable.run();
+          } else {
+            decide(service, ask);
+          }
         });
   }
 
+  private void decide(String service, Ask ask) {
+    long now = clock.getAsLong();
+    askedAt.put(service, now);
+    deliver(service, List.of(scheduler(service).ask(ask, now)));
+    tickSoon();
+    probeSoon();
+  }
+
   void report(String service, Report r) {
     Scheduler s = byService.get(service);
     if (s != null) {
