Newest first among requests that can be on time; wait for a good slot

Change: those that can still meet their objective go first, the newest of them first, and only onto a slot on which they will be on time; when more wait than can be on time the oldest is turned away at once; the rest get what is left. The time that a caller spent before is read from its deadline. Each caller that is turned away gets a time of its own to come back.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Ask.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Ask.java
@@ -10,8 +10,9 @@
  * @param dataCentre the data centre of the asking host
  * @param route the name of the request's route
  * @param priority rank of the route, 0 first
- * @param objectiveMs time left until its latency objective is missed, in milliseconds
- * @param waitMs longest time that it may wait for a slot, in milliseconds
+ * @param objectiveMs the route's latency objective, in milliseconds
+ * @param onTimeMs time left until the caller's objective is missed, in milliseconds, 0 if it is
+ * @param leftMs time left until the request must have its answer, in milliseconds
  * @param bodyBytes size of its body
  * @param tried upstreams that must not be chosen
  */
@@ -21,7 +22,8 @@
     String route,
     int priority,
     long objectiveMs,
-    long waitMs,
+    long onTimeMs,
+    long leftMs,
     int bodyBytes,
     Set<String> tried) {
   /** Checks and copies the components. */
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -14,9 +14,10 @@
 /**
  * Places the requests of one service on its upstreams.
  *
- * <p>A request goes to the upstream with a free slot where its answer is expected first. When no
- * slot is free it waits here, not at an upstream, so that it takes whichever slot is free first.
- * When it would wait longer than it may, it is turned away at once.
+ * <p>A request goes to the upstream with a free slot where its answer is expected first. While no
+ * free slot would let it meet its objective it waits here, not at an upstream, so that it takes
+ * whichever good slot is free first. When more requests wait than can be on time, the oldest is
+ * turned away at once; requests that can't be on time get what the others leave.
  *
  * <p>Invariant: no upstream holds more requests of this scheduler than it has slots. Confined to
  * one thread.
@@ -29,15 +30,16 @@
   private static final double COLD_PACE = 2.5;
   private static final double MEAN_PACE_STEP = 0.05;
   private static final long LONGEST_HOLD_MS = 10_000;
-  private static final long SHORTEST_RETRY_AFTER_MS = 30;
-  private static final long LONGEST_RETRY_AFTER_MS = 1_000;
-  private static final long NO_UPSTREAM_RETRY_AFTER_MS = 300;
+  private static final double NO_UPSTREAM_MS = 300;
+  private static final double ON_TIME_SLACK = 1.2;
+  private static final double WAIT_SHARE = 0.4;
 
   private final SchedulerSettings settings;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private final Map<AskKey, Held> held = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
   private final WorkTimes workTimes = new WorkTimes();
+  private final ReturnTimes returnTimes = new ReturnTimes();
   private double meanPace = 1.3;
   private int coldBound;
   private double askRate;
@@ -80,24 +82,45 @@
    *
    * @param ask the request
    * @param nowMs the present time on the same clock
-   * @return a place, a wait, or a refusal
+   * @return a place, a wait, or a refusal; a refusal of another request that waited may come along
    */
-  public Verdict ask(Ask ask, long nowMs) {
+  public List<Verdict> ask(Ask ask, long nowMs) {
     askRate = askRate(nowMs) + 1 / ASK_RATE_MEMORY_MS;
     askRateAtMs = nowMs;
-    Optional<UpstreamLoad> best = line.size() > 0 ? Optional.empty() : best(ask, nowMs);
-    if (best.isPresent()) {
-      return place(ask, best.get(), nowMs);
+    if (loads.values().stream().allMatch(l -> ask.tried().contains(l.entry().id()))) {
+      return List.of(turnAway(ask, NO_UPSTREAM_MS, nowMs));
     }
-    if (!anyFor(ask)) {
-      return new Verdict.TurnedAway(ask.key(), NO_UPSTREAM_RETRY_AFTER_MS);
+    var newcomer = new WaitingLine.Waiting(ask, nowMs, 0);
+    Optional<Verdict> place = tryPlace(newcomer, nowMs);
+    if (place.isPresent()) {
+      return List.of(place.get());
     }
-    double wait = expectedWaitMs(ask);
-    if (wait > ask.waitMs()) {
-      return new Verdict.TurnedAway(ask.key(), retryAfter(wait - ask.waitMs()));
+    if (onTime(newcomer, nowMs)) {
+      return waitOnTime(ask, nowMs);
     }
+    if (overloaded(nowMs) || expectedWaitMs(ask) > longestWaitMs(ask)) {
+      return List.of(turnAway(ask, 0, nowMs));
+    }
+    line.add(ask, nowMs);
+    return List.of(new Verdict.Waits(ask.key()));
+  }
+
+  /** Lets a request wait that can be on time, in place of the oldest if too many wait. */
+  private List<Verdict> waitOnTime(Ask ask, long nowMs) {
     line.add(ask, nowMs);
-    return new Verdict.Waits(ask.key());
+    List<Verdict> out = new ArrayList<>();
+    out.add(new Verdict.Waits(ask.key()));
+    if (line.count(w -> onTime(w, nowMs)) > mostOnTime(ask)) {
+      line.takeLast(w -> onTime(w, nowMs))
+          .ifPresent(w -> out.add(turnAway(w.ask(), 0, nowMs)));
+    }
+    return out;
+  }
+
+  /** How many requests can get a slot while the newest of them can still be on time. */
+  private double mostOnTime(Ask ask) {
+    double wait = Math.max(0, ask.onTimeMs() - workMs(ask) * ON_TIME_SLACK);
+    return 1 + wait / eachMs(ask);
   }
 
   /**
@@ -209,12 +232,34 @@
     loads.values().forEach(l -> l.dropHoldsBefore(nowMs - LONGEST_HOLD_MS));
     held.values().removeIf(h -> h.sinceMs < nowMs - LONGEST_HOLD_MS);
     List<Verdict> out = new ArrayList<>(fill(nowMs));
-    for (Ask a : line.takeExpired(nowMs)) {
-      out.add(new Verdict.TurnedAway(a.key(), retryAfter(expectedWaitMs(a))));
-    }
+    boolean overloaded = overloaded(nowMs);
+    List<WaitingLine.Waiting> hopeless =
+        line.takeAll(
+            w ->
+                !onTime(w, nowMs)
+                    && (overloaded || w.waitedMs(nowMs) >= longestWaitMs(w.ask())));
+    hopeless.forEach(w -> out.add(turnAway(w.ask(), 0, nowMs)));
     return out;
   }
 
+  /** Tells whether requests that can be on time wait, so that others have no room. */
+  private boolean overloaded(long nowMs) {
+    return line.count(w -> onTime(w, nowMs)) > 0;
+  }
+
+  private boolean onTime(WaitingLine.Waiting w, long nowMs) {
+    return w.onTimeMs(nowMs) >= workMs(w.ask()) * ON_TIME_SLACK;
+  }
+
+  private static double longestWaitMs(Ask ask) {
+    return Math.min(ask.objectiveMs(), ask.leftMs() * WAIT_SHARE);
+  }
+
+  private Verdict turnAway(Ask ask, double aheadMs, long nowMs) {
+    double ahead = Math.max(aheadMs, expectedWaitMs(ask));
+    return new Verdict.TurnedAway(ask.key(), returnTimes.next(ahead, eachMs(ask), nowMs));
+  }
+
   /**
    * Tells whether requests wait.
    *
@@ -254,16 +299,33 @@
       return List.of();
     }
     List<Verdict> out = new ArrayList<>();
-    for (Ask a : line.ordered(this::workMs, nowMs)) {
-      Optional<UpstreamLoad> best = best(a, nowMs);
-      if (best.isPresent()) {
-        line.remove(a.key());
-        out.add(place(a, best.get(), nowMs));
-      }
+    for (WaitingLine.Waiting w : line.ordered(x -> onTime(x, nowMs))) {
+      tryPlace(w, nowMs)
+          .ifPresent(
+              v -> {
+                line.remove(w.ask().key());
+                out.add(v);
+              });
     }
     return out;
   }
 
+  /**
+   * Places a request if a free slot is good for it: one on which it will be on time if it can be,
+   * else one on which it gets an answer at all.
+   */
+  private Optional<Verdict> tryPlace(WaitingLine.Waiting w, long nowMs) {
+    Optional<UpstreamLoad> best = best(w.ask(), nowMs);
+    if (best.isEmpty()) {
+      return Optional.empty();
+    }
+    double expected = expectedMs(best.get(), w.ask(), nowMs);
+    double bound = onTime(w, nowMs) ? w.onTimeMs(nowMs) : w.leftMs(nowMs);
+    return expected <= bound
+        ? Optional.of(place(w.ask(), best.get(), nowMs))
+        : Optional.empty();
+  }
+
   private Verdict place(Ask ask, UpstreamLoad load, long nowMs) {
     load.hold(ask.key(), workMs(ask), nowMs);
     held.put(ask.key(), new Held(ask, load.entry().id(), nowMs));
@@ -274,10 +336,6 @@
     return workTimes.of(ask.route(), ask.objectiveMs());
   }
 
-  private boolean anyFor(Ask ask) {
-    return loads.values().stream().anyMatch(l -> !ask.tried().contains(l.entry().id()));
-  }
-
   private Optional<UpstreamLoad> best(Ask ask, long nowMs) {
     UpstreamLoad best = null;
     double bestMs = Double.MAX_VALUE;
@@ -327,13 +385,13 @@
   }
 
   private double expectedWaitMs(Ask ask) {
-    int slots = loads.values().stream().mapToInt(l -> l.entry().slots()).sum();
-    return (line.size() + 1) * workMs(ask) * meanPace / Math.max(1, slots);
+    return (line.size() + 1) * eachMs(ask);
   }
 
-  private static long retryAfter(double waitMs) {
-    long ms = Math.round(waitMs);
-    return Math.max(SHORTEST_RETRY_AFTER_MS, Math.min(LONGEST_RETRY_AFTER_MS, ms));
+  /** Time between two requests like this that the service can take. */
+  private double eachMs(Ask ask) {
+    int slots = loads.values().stream().mapToInt(l -> l.entry().slots()).sum();
+    return workMs(ask) * meanPace / Math.max(1, slots);
   }
 
   private record Held(Ask ask, String upstream, long sinceMs) {}
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/WaitingLine.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/WaitingLine.java
@@ -4,20 +4,28 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.function.ToDoubleFunction;
+import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Requests that wait for a slot.
  *
- * <p>A free slot goes first to those that can still meet their objective, among them to the more
- * urgent route, then to the one whose objective ends first. Those that can't meet it any more come
- * after all others, newest first. Confined to one thread.
+ * <p>Those that can still meet their objective come first, among them the more urgent route, then
+ * the newest. The newest has the most time left: when more requests come than can be served, taking
+ * the oldest first would make all of them late (adaptive LIFO; Fail at Scale, 2015). Confined to one
+ * thread.
  */
 final class WaitingLine {
+  private static final Comparator<Waiting> NEWEST_OF_MOST_URGENT =
+      Comparator.comparingInt((Waiting w) -> w.ask.priority())
+          .thenComparingLong(w -> -w.sinceMs)
+          .thenComparingLong(w -> -w.order);
+
   private final List<Waiting> line = new ArrayList<>();
+  private long lastOrder;
 
   void add(Ask ask, long nowMs) {
-    line.add(new Waiting(ask, nowMs));
+    line.add(new Waiting(ask, nowMs, ++lastOrder));
   }
 
   int size() {
@@ -28,35 +36,47 @@
     return line.removeIf(w -> w.ask.key().equals(key));
   }
 
+  int count(Predicate<Waiting> which) {
+    return (int) line.stream().filter(which).count();
+  }
+
   /** Requests in the order in which slots go to them. */
-  List<Ask> ordered(ToDoubleFunction<Ask> workMs, long nowMs) {
-    Comparator<Waiting> order =
-        Comparator.comparing((Waiting w) -> !w.onTime(workMs, nowMs))
-            .thenComparingInt(w -> w.ask.priority())
-            .thenComparingLong(w -> w.onTime(workMs, nowMs) ? w.objectiveAtMs() : -w.sinceMs);
-    return line.stream().sorted(order).map(w -> w.ask).toList();
+  List<Waiting> ordered(Predicate<Waiting> onTime) {
+    Comparator<Waiting> order = Comparator.comparing(w -> !onTime.test(w));
+    return line.stream().sorted(order.thenComparing(NEWEST_OF_MOST_URGENT)).toList();
   }
 
-  /** Takes out those that have waited as long as they may. */
-  List<Ask> takeExpired(long nowMs) {
-    List<Ask> out = new ArrayList<>();
+  /** Takes out the one that slots would go to last. */
+  Optional<Waiting> takeLast(Predicate<Waiting> which) {
+    Optional<Waiting> last = line.stream().filter(which).max(NEWEST_OF_MOST_URGENT);
+    last.ifPresent(line::remove);
+    return last;
+  }
+
+  List<Waiting> takeAll(Predicate<Waiting> which) {
+    List<Waiting> out = new ArrayList<>();
     for (Iterator<Waiting> i = line.iterator(); i.hasNext(); ) {
       Waiting w = i.next();
-      if (nowMs - w.sinceMs >= w.ask.waitMs()) {
-        out.add(w.ask);
+      if (which.test(w)) {
+        out.add(w);
         i.remove();
       }
     }
     return out;
   }
 
-  private record Waiting(Ask ask, long sinceMs) {
-    long objectiveAtMs() {
-      return sinceMs + ask.objectiveMs();
+  /** A request with the moment from which it waits. */
+  record Waiting(Ask ask, long sinceMs, long order) {
+    double onTimeMs(long nowMs) {
+      return ask.onTimeMs() - (nowMs - sinceMs);
+    }
+
+    double leftMs(long nowMs) {
+      return ask.leftMs() - (nowMs - sinceMs);
     }
 
-    boolean onTime(ToDoubleFunction<Ask> workMs, long nowMs) {
-      return nowMs + workMs.applyAsDouble(ask) <= objectiveAtMs();
+    long waitedMs(long nowMs) {
+      return nowMs - sinceMs;
     }
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
@@ -41,7 +41,6 @@
   private static final long LEAST_TIME_MS = 5;
   private static final long PROVED_IDLE_MS = 2_500;
   private static final long EXCHANGE_SLACK_MS = 1_000;
-  private static final double WAIT_SHARE = 0.4;
   private static final long REFUSED_RETRY_MS = 40;
 
   private final RequestTools tools;
@@ -51,6 +50,7 @@
   private final Consumer<CallerAnswer> answer;
   private final String service;
   private final long endMs;
+  private final long onTimeAtMs;
   private final Set<String> tried = new HashSet<>();
   private final List<Attempt> running = new ArrayList<>();
   private @Nullable AskKey asking;
@@ -77,6 +77,8 @@
     this.service = tools.parts().next(route);
     long callerMs = tools.wire().deadlineMs(request.headers()).orElse(route.timeoutMs());
     this.endMs = request.arrivedMs() + Math.min(callerMs, route.timeoutMs());
+    long spentMs = tools.patience().spentMs(route.name(), callerMs);
+    this.onTimeAtMs = request.arrivedMs() + route.objectiveMs() - spentMs;
   }
 
   void start() {
@@ -102,16 +104,15 @@
   private void ask() {
     AskKey key = tools.placement().nextKey();
     asking = key;
-    long objective = Math.max(0, request.arrivedMs() + route.objectiveMs() - now());
-    long wait = Math.min(route.objectiveMs(), (long) (left() * WAIT_SHARE));
     var ask =
         new Ask(
             key,
             tools.dataCentre(),
             route.name(),
             route.priority(),
-            objective,
-            Math.max(0, wait),
+            route.objectiveMs(),
+            Math.max(0, onTimeAtMs - now()),
+            Math.max(0, left()),
             request.body().length,
             tried);
     tools.placement().place(service, ask, this::decided);
@@ -182,7 +183,7 @@
 
   private long hedgeAfter() {
     double usual = tools.workTimes().of(route.name(), route.objectiveMs());
-    return HedgeDelay.ms(usual, request.arrivedMs() + route.objectiveMs() - now());
+    return HedgeDelay.ms(usual, onTimeAtMs - now());
   }
 
   /** Sends the request to a second upstream while the first has not answered. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
@@ -2,6 +2,7 @@
 
 import dev.cactusstack.decisions.matching.WeightedParts;
 import dev.cactusstack.decisions.placing.WorkTimes;
+import dev.cactusstack.decisions.retries.Patience;
 import dev.cactusstack.decisions.retries.RepeatWindow;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -26,6 +27,7 @@
  * @param parts shares of split routes
  * @param repeats budgets for repeats, by service
  * @param workTimes usual answer times, by route
+ * @param patience how long callers of each route wait
  * @param repeatBudget the bounds for repeats
  */
 public record RequestTools(
@@ -39,6 +41,7 @@
     WeightedParts parts,
     Map<String, RepeatWindow> repeats,
     WorkTimes workTimes,
+    Patience patience,
     RepeatBudget repeatBudget) {
 
   /**
@@ -73,6 +76,7 @@
         new WeightedParts(),
         new HashMap<>(),
         new WorkTimes(),
+        new Patience(),
         repeatBudget);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -178,7 +178,8 @@
     out.writeStringNoTag(a.route());
     out.writeUInt32NoTag(a.priority());
     out.writeUInt64NoTag(a.objectiveMs());
-    out.writeUInt64NoTag(a.waitMs());
+    out.writeUInt64NoTag(a.onTimeMs());
+    out.writeUInt64NoTag(a.leftMs());
     out.writeUInt32NoTag(a.bodyBytes());
     out.writeUInt32NoTag(a.tried().size());
     for (String t : a.tried()) {
@@ -192,13 +193,14 @@
     String route = in.readString();
     int priority = in.readUInt32();
     long objective = in.readUInt64();
-    long wait = in.readUInt64();
+    long onTime = in.readUInt64();
+    long left = in.readUInt64();
     int body = in.readUInt32();
     Set<String> tried = new HashSet<>();
     for (int n = count(in); n > 0; n--) {
       tried.add(in.readString());
     }
-    return new Ask(key, dataCentre, route, priority, objective, wait, body, tried);
+    return new Ask(key, dataCentre, route, priority, objective, onTime, left, body, tried);
   }
 
   private static void writeVerdict(CodedOutputStream out, Verdict v) throws IOException {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -250,7 +250,7 @@
     if (v instanceof Verdict.Waits) {
       p.stopTimer();
       p.waits = true;
-      long wait = p.ask.waitMs() + ANSWER_TIMEOUT_MS;
+      long wait = p.ask.leftMs();
       p.startTimer(loop.schedule(() -> silent(p), wait, TimeUnit.MILLISECONDS));
       return;
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Schedulers.java
@@ -94,7 +94,7 @@
   private void decide(String service, Ask ask) {
     long now = clock.getAsLong();
     askedAt.put(service, now);
-    deliver(service, List.of(scheduler(service).ask(ask, now)));
+    deliver(service, scheduler(service).ask(ask, now));
     tickSoon();
     probeSoon();
   }
