--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerAnswer.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerAnswer.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 
 /**
  * An answer to a caller.
@@ -38,10 +37,7 @@
   public static CallerAnswer problem(Refusal p) {
     HttpHeaders h = new DefaultHttpHeaders();
     h.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
-    String json =
-        "{\"kind\":\"%s\",\"title\":\"%s\",\"remedy\":\"%s\"}"
-            .formatted(p.label(), p.title(), p.remedy());
-    return new CallerAnswer(p.status(), h, json.getBytes(StandardCharsets.UTF_8));
+    return new CallerAnswer(p.status(), h, p.body());
   }
 
   /**
@@ -51,8 +47,7 @@
    * @return this answer
    */
   public CallerAnswer retryAfter(long ms) {
-    headers.set(
-        HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", ms / MS_PER_SECOND));
+    headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(ms / MS_PER_SECOND));
     return this;
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
@@ -1,5 +1,8 @@
 package dev.cactusstack.gateway.callers;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
 /** Why the system answers a request itself. Thread-safe. */
 public enum Refusal {
   /** The header section or the body can't be read. */
@@ -60,12 +63,29 @@
     return remedy;
   }
 
+  /**
+   * Returns the body of the answer.
+   *
+   * @return a JSON object as UTF-8
+   */
+  byte[] body() {
+    String json =
+        "{\"kind\":\""
+            + label()
+            + "\",\"title\":\""
+            + title
+            + "\",\"remedy\":\""
+            + remedy
+            + "\"}";
+    return json.getBytes(StandardCharsets.UTF_8);
+  }
+
   /**
    * Returns the word for logs and answers.
    *
    * @return lower case with hyphens
    */
   public String label() {
-    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 }
