Prefer the caller's data centre to an upstream's empty slots; wait for the first configuration

Cause: answers of 5 KB crossed data centres to avoid a second request on an upstream, which costs 16 % where it costs anything (98 to 114 ms on turnos, nothing on opis-search). Change: an occupied slot weighs 0.4 instead of 1.2. Hosts no longer read the store every 250 ms until there is a configuration.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -23,7 +23,7 @@
  * one thread.
  */
 public final class Scheduler {
-  private static final double OCCUPIED_WEIGHT = 1.2;
+  private static final double OCCUPIED_WEIGHT = 0.4;
   private static final long FRESH_MS = 150;
   private static final double ASK_RATE_MEMORY_MS = 1_000;
   private static final double FAULT_WEIGHT = 4;
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -39,6 +39,7 @@
   private boolean failing;
   private long sinceMs;
   private long changedAt;
+  private long cursor;
 
   /**
    * Creates a controller that knows no configuration.
@@ -146,28 +147,29 @@
   }
 
   private void follow() {
-    SiteConfiguration c = inForce;
     CompletableFuture<ConfigurationChange> call =
-        c == null || !whole
-            ? store.readConfiguration()
-            : store.watchConfiguration(c.revision(), WATCH_MS);
+        whole ? store.watchConfiguration(cursor, WATCH_MS) : store.readConfiguration();
     call.whenComplete(
         (change, failure) -> {
           if (failure == null) {
             recovered();
-            apply(change);
-            whole |= change.complete();
-            if (inForce == null) {
-              again();
-            } else {
-              follow();
-            }
+            take(change);
           } else {
             failed(failure);
           }
         });
   }
 
+  private void take(ConfigurationChange change) {
+    cursor = change.revision();
+    // The first configuration is read whole, so that nothing that was there before it is missed.
+    whole = change.complete() || inForce != null;
+    if (whole) {
+      apply(change);
+    }
+    follow();
+  }
+
   private void again() {
     loop.schedule(this::follow, RETRY_MS, TimeUnit.MILLISECONDS);
   }
