--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -111,8 +111,7 @@
     List<Verdict> out = new ArrayList<>();
     out.add(new Verdict.Waits(ask.key()));
     if (line.count(w -> onTime(w, nowMs)) > mostOnTime(ask)) {
-      line.takeLast(w -> onTime(w, nowMs))
-          .ifPresent(w -> out.add(turnAway(w.ask(), 0, nowMs)));
+      line.takeLast(w -> onTime(w, nowMs)).ifPresent(w -> out.add(turnAway(w.ask(), 0, nowMs)));
     }
     return out;
   }
@@ -235,9 +234,7 @@
     boolean overloaded = overloaded(nowMs);
     List<WaitingLine.Waiting> hopeless =
         line.takeAll(
-            w ->
-                !onTime(w, nowMs)
-                    && (overloaded || w.waitedMs(nowMs) >= longestWaitMs(w.ask())));
+            w -> !onTime(w, nowMs) && (overloaded || w.waitedMs(nowMs) >= longestWaitMs(w.ask())));
     hopeless.forEach(w -> out.add(turnAway(w.ask(), 0, nowMs)));
     return out;
   }
@@ -321,9 +318,7 @@
     }
     double expected = expectedMs(best.get(), w.ask(), nowMs);
     double bound = onTime(w, nowMs) ? w.onTimeMs(nowMs) : w.leftMs(nowMs);
-    return expected <= bound
-        ? Optional.of(place(w.ask(), best.get(), nowMs))
-        : Optional.empty();
+    return expected <= bound ? Optional.of(place(w.ask(), best.get(), nowMs)) : Optional.empty();
   }
 
   private Verdict place(Ask ask, UpstreamLoad load, long nowMs) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/WaitingLine.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/WaitingLine.java
@@ -12,8 +12,8 @@
  *
  * <p>Those that can still meet their objective come first, among them the more urgent route, then
  * the newest. The newest has the most time left: when more requests come than can be served, taking
- * the oldest first would make all of them late (adaptive LIFO; Fail at Scale, 2015). Confined to one
- * thread.
+ * the oldest first would make all of them late (adaptive LIFO; Fail at Scale, 2015). Confined to
+ * one thread.
  */
 final class WaitingLine {
   private static final Comparator<Waiting> NEWEST_OF_MOST_URGENT =
--- a/decisions/src/main/java/dev/cactusstack/decisions/retries/HedgeDelay.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/retries/HedgeDelay.java
@@ -2,7 +2,8 @@
 
 /**
  * When an idempotent request that has not been answered is sent to a second upstream: at the last
- * moment at which the second answer is likely to meet the objective (after The Tail at Scale, 2013).
+ * moment at which the second answer is likely to meet the objective (after The Tail at Scale,
+ * 2013).
  *
  * <p>It answers upstreams that slow down several times over while a request runs. Stateless and
  * thread-safe.
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -63,9 +63,7 @@
     }
 
     Set<String> usable(String at) {
-      return tables.get(at).usable(nowMs).stream()
-          .map(HostEntry::name)
-          .collect(Collectors.toSet());
+      return tables.get(at).usable(nowMs).stream().map(HostEntry::name).collect(Collectors.toSet());
     }
   }
 
--- a/decisions/src/test/java/dev/cactusstack/decisions/matching/RouteTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/matching/RouteTableTest.java
@@ -13,8 +13,7 @@
   private static RouteRule route(String name, String host, String prefix, RouteRule.Part... parts) {
     List<RouteRule.Part> list =
         parts.length == 0 ? List.of(new RouteRule.Part("s", 1)) : List.of(parts);
-    return new RouteRule(
-        name, host, prefix, RequestKind.IDEMPOTENT, 1_000, 300, 1, 2, list);
+    return new RouteRule(name, host, prefix, RequestKind.IDEMPOTENT, 1_000, 300, 1, 2, list);
   }
 
   private final RouteTable table =
@@ -54,8 +53,7 @@
   @Test
   void shouldKeepEachShareWithinOneRequestWhenARouteIsSplit() {
     var parts = new WeightedParts();
-    RouteRule r =
-        route("r", "h", "/", new RouteRule.Part("a", 70), new RouteRule.Part("b", 30));
+    RouteRule r = route("r", "h", "/", new RouteRule.Part("a", 70), new RouteRule.Part("b", 30));
     Map<String, Integer> counts = new TreeMap<>();
     for (int n = 1; n <= 200; n++) {
       counts.merge(parts.next(r), 1, Integer::sum);
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -30,8 +30,7 @@
   }
 
   private Ask ask(long onTimeMs, long leftMs, String... tried) {
-    return new Ask(
-        new AskKey(1, ++number), "dc", "r", 1, 300, onTimeMs, leftMs, 0, Set.of(tried));
+    return new Ask(new AskKey(1, ++number), "dc", "r", 1, 300, onTimeMs, leftMs, 0, Set.of(tried));
   }
 
   private Verdict one(Ask ask, long nowMs) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -104,7 +104,16 @@
         new HostEntry(
             settings.host(), settings.dataCentre(), settings.callers(), settings.link(), 0);
     this.hosts =
-        new HostsController(loop, clock, log, store, peers, link, configuration, self, random,
+        new HostsController(
+            loop,
+            clock,
+            log,
+            store,
+            peers,
+            link,
+            configuration,
+            self,
+            random,
             () -> !configuration.failing() && !upstreams.failing());
     GatewaySettings.Bounds b = settings.bounds();
     var schedulerSettings =
@@ -119,7 +128,14 @@
             loop,
             new ClientLimits(CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, false, MAX_ANSWER_BYTES),
             clock);
-    var schedulers = new Schedulers(loop, clock, log, schedulerSettings, upstreams, new Prober(client, wire),
+    var schedulers =
+        new Schedulers(
+            loop,
+            clock,
+            log,
+            schedulerSettings,
+            upstreams,
+            new Prober(client, wire),
             () -> peers.othersInformed(clock.getAsLong()));
     this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
     var budget =
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
@@ -70,13 +70,7 @@
    */
   byte[] body() {
     String json =
-        "{\"kind\":\""
-            + label()
-            + "\",\"title\":\""
-            + title
-            + "\",\"remedy\":\""
-            + remedy
-            + "\"}";
+        "{\"kind\":\"" + label() + "\",\"title\":\"" + title + "\",\"remedy\":\"" + remedy + "\"}";
     return json.getBytes(StandardCharsets.UTF_8);
   }
 
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/CallerConnectionTest.java
@@ -0,0 +1,121 @@
+package dev.cactusstack.gateway.callers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.model.site.CallerLimits;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest {
+  private static final CallerLimits LIMITS = new CallerLimits(500, 100, 3_000, 15_000);
+
+  private final Map<String, Consumer<CallerAnswer>> open = new HashMap<>();
+  private final List<CallerRequest> requests = new ArrayList<>();
+  private final List<String> cancelled = new ArrayList<>();
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final CallersPort port =
+      new CallersPort(channel.eventLoop(), List.of(this::take), () -> LIMITS, () -> 0L);
+
+  CallerConnectionTest() {
+    channel
+        .pipeline()
+        .addLast(new HttpServerCodec(4_096, LIMITS.maxHeaderBytes(), 4_096))
+        .addLast(new CallerConnection(port, channel, LIMITS));
+  }
+
+  private Optional<Filter.Running> take(CallerRequest r, Consumer<CallerAnswer> answer) {
+    requests.add(r);
+    open.put(r.target(), answer);
+    return Optional.of(() -> cancelled.add(r.target()));
+  }
+
+  private void send(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+
+  private String received() {
+    var all = new StringBuilder();
+    for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+      all.append(b.toString(StandardCharsets.UTF_8));
+    }
+    return all.toString();
+  }
+
+  private static String get(String target) {
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+
+  @Test
+  void shouldRunPipelinedRequestsTogetherAndAnswerThemInOrder() {
+    send(get("/1") + get("/2"));
+    assertThat(requests).extracting(CallerRequest::target).containsExactly("/1", "/2");
+    open.get("/2").accept(CallerAnswer.json(200, "\"two\""));
+    assertThat(received()).isEmpty();
+    open.get("/1").accept(CallerAnswer.json(200, "\"one\""));
+    String text = received();
+    assertThat(text.indexOf("one")).isPositive().isLessThan(text.indexOf("two"));
+  }
+
+  @Test
+  void shouldCancelWhatRunsWhenTheCallerCloses() {
+    send(get("/1") + get("/2"));
+    channel.close();
+    assertThat(cancelled).containsExactlyInAnyOrder("/1", "/2");
+  }
+
+  @Test
+  void shouldPassABodyOnOnlyWhenItIsWhole() {
+    send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nabc");
+    assertThat(requests).isEmpty();
+    send("def");
+    assertThat(requests).hasSize(1);
+    assertThat(new String(requests.get(0).body(), StandardCharsets.UTF_8)).isEqualTo("abcdef");
+  }
+
+  @Test
+  void shouldReadAChunkedBodyAsOne() {
+    send(
+        "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n");
+    send("0\r\n\r\n");
+    assertThat(new String(requests.get(0).body(), StandardCharsets.UTF_8)).isEqualTo("abcde");
+  }
+
+  @Test
+  void shouldRefuseABodyWhenItIsTooLarge() {
+    send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n");
+    assertThat(received()).startsWith("HTTP/1.1 413").contains("connection: close");
+    assertThat(requests).isEmpty();
+  }
+
+  @Test
+  void shouldRefuseHeadersWhenTheyAreTooLarge() {
+    send("GET /1 HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(600) + "\r\n\r\n");
+    assertThat(received()).startsWith("HTTP/1.1 431");
+  }
+
+  @Test
+  void shouldRefuseWhatIsNoRequest() {
+    send("nonsense\r\n\r\n");
+    assertThat(received()).startsWith("HTTP/1.1 400");
+    assertThat(requests).isEmpty();
+  }
+
+  @Test
+  void shouldCloseAfterTheAnswerAndDropWhatWasSentBehindWhenThePortIsClosing() {
+    send(get("/1") + get("/2"));
+    port.lastAnswers();
+    open.get("/1").accept(CallerAnswer.json(200, "1"));
+    assertThat(received()).contains("connection: close");
+    assertThat(cancelled).containsExactly("/2");
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/VirtualLoop.java
@@ -0,0 +1,31 @@
+package dev.cactusstack.gateway.control;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+
+/** An event loop in virtual time. */
+final class VirtualLoop {
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowMs = 1_000_000;
+
+  VirtualLoop() {
+    channel.freezeTime();
+  }
+
+  EventLoop loop() {
+    return channel.eventLoop();
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void run(long ms) {
+    for (long end = nowMs + ms; nowMs < end; nowMs += 10) {
+      channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+      channel.runPendingTasks();
+      channel.runScheduledPendingTasks();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -0,0 +1,85 @@
+package dev.cactusstack.gateway.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dev.cactusstack.decisions.gossip.Pulse;
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.AttemptEnd;
+import dev.cactusstack.decisions.placing.LoadFigures;
+import dev.cactusstack.decisions.placing.Report;
+import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostEntry;
+import dev.cactusstack.model.site.UpstreamEntry;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class LinkCodecTest {
+  private static final Address A = new Address("10.0.0.1", 7_200);
+  private static final AskKey KEY = new AskKey(-5, 1L << 40);
+
+  private static final List<LinkMessage> MESSAGES =
+      List.of(
+          new LinkMessage.Beat(
+              77,
+              List.of(new HostEntry("h", "dc", A, A, 3)),
+              List.of(new Pulse(-1, 9, 4, true, false), new Pulse(2, 1, 1, false, true))),
+          new LinkMessage.Asked(
+              "s", new Ask(KEY, "dc", "r", 2, 300, 250, 900, 60_000, Set.of("u"))),
+          new LinkMessage.Decided(
+              new Verdict.Placed(KEY, new UpstreamEntry("u", "s", A, "dc", 4, false, 0, 5))),
+          new LinkMessage.Decided(new Verdict.TurnedAway(KEY, 40)),
+          new LinkMessage.Decided(new Verdict.Waits(KEY)),
+          new LinkMessage.Ended(
+              "s",
+              List.of(
+                  new Report(
+                      KEY,
+                      "u",
+                      AttemptEnd.ANSWERED,
+                      90,
+                      Optional.of(new LoadFigures(1, 2, 4, 700))),
+                  new Report(KEY, "u", AttemptEnd.UNUSED, 0, Optional.empty()))),
+          new LinkMessage.Withdrawn("s", KEY),
+          new LinkMessage.Unable(KEY));
+
+  @Test
+  void shouldGiveTheSameMessageWhenItIsEncodedAndDecoded() throws IOException {
+    for (LinkMessage m : MESSAGES) {
+      assertThat(LinkCodec.decode(LinkCodec.encode(m))).isEqualTo(m);
+    }
+  }
+
+  @Test
+  void shouldFailWithAnIoExceptionWhenBytesAreCutOrChanged() {
+    var random = new SplittableRandom(3);
+    for (LinkMessage m : MESSAGES) {
+      byte[] whole = LinkCodec.encode(m);
+      for (int i = 0; i < 500; i++) {
+        byte[] bytes = Arrays.copyOf(whole, random.nextInt(whole.length + 1));
+        if (bytes.length > 0) {
+          bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+        }
+        try {
+          LinkCodec.decode(bytes);
+        } catch (IOException expected) {
+          assertThat(expected).isNotNull();
+        }
+      }
+    }
+  }
+
+  @Test
+  void shouldRefuseAMessageWhenItIsOfAnotherVersion() {
+    byte[] bytes = LinkCodec.encode(MESSAGES.get(7));
+    bytes[0]++;
+    assertThatThrownBy(() -> LinkCodec.decode(bytes)).isInstanceOf(IOException.class);
+  }
+}
