--- a/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/CtlMain.java
@@ -94,6 +94,9 @@
       return CommandEnd.done(List.of());
     }
     List<String> words = o.nonOptionArguments().stream().map(String::valueOf).toList();
+    if (!words.isEmpty() && words.get(0).equals("explain")) {
+      return explain(words);
+    }
     Result<List<Address>> hosts = options.addresses(o);
     if (hosts instanceof Result.Failure<List<Address>> f) {
       return CommandEnd.invalid(f.problem().message(), f.problem().remedy());
@@ -114,6 +117,14 @@
     }
   }
 
+  private static CommandEnd explain(List<String> words) throws IOException {
+    if (words.size() < 2) {
+      return usage("explain REQUEST-ID [FILE...]");
+    }
+    List<Path> files = words.stream().skip(2).map(Path::of).toList();
+    return new ExplainCommand(words.get(1)).run(files, System.in);
+  }
+
   private static CommandEnd command(
       List<String> words, OperatorsApi api, CtlOptions options, OptionSet o, PrintStream out)
       throws InterruptedException {
--- a/ctl/src/main/java/dev/cactusstack/ctl/CtlOptions.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/CtlOptions.java
@@ -25,6 +25,7 @@
       data-centre out NAME                take a data centre out
       data-centre in NAME                 take it back in
       status                              print hosts, data centres and upstreams
+      explain REQUEST-ID [FILE...]        tell the life of a request from logs of hosts (or from standard input)
 
       Exit codes: 0 done; 2 invalid input, nothing changed; 3 conflict, nothing changed;
       4 not accepted or outcome unknown; 5 not authorised.
--- /dev/null
+++ b/ctl/src/main/java/dev/cactusstack/ctl/LogLine.java
@@ -0,0 +1,57 @@
+package dev.cactusstack.ctl;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One event of a host's log. Immutable and thread-safe.
+ *
+ * @param host the name of the host that wrote it, or of the file when the host isn't known
+ * @param order the place of the line among all that were read
+ * @param fields the pairs, {@code time} and {@code event} among them
+ * @param text the line from its time on
+ */
+record LogLine(String host, long order, Map<String, String> fields, String text) {
+  private static final Pattern PAIR = Pattern.compile("(\\w+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S*)");
+  private static final String TIME = "time=";
+
+  LogLine {
+    Objects.requireNonNull(host, "host is null");
+    fields = Map.copyOf(fields);
+  }
+
+  /**
+   * Reads a line. Words before the time are of whoever collected the logs; the last is the host.
+   *
+   * @param line the line
+   * @param host the host as far as it is known
+   * @param order the place of the line
+   * @return the event, or nothing when the line isn't one
+   */
+  static Optional<LogLine> parse(String line, String host, long order) {
+    int at = line.indexOf(TIME);
+    if (at < 0 || !line.contains(" event=")) {
+      return Optional.empty();
+    }
+    String[] before = line.substring(0, at).trim().split("\\s+");
+    String last = before[before.length - 1];
+    String text = line.substring(at);
+    Map<String, String> fields = new HashMap<>();
+    for (Matcher m = PAIR.matcher(text); m.find(); ) {
+      fields.putIfAbsent(m.group(1), m.group(2).replaceAll("^\"|\"$", ""));
+    }
+    return Optional.of(new LogLine(last.isEmpty() ? host : last, order, fields, text));
+  }
+
+  String field(String name) {
+    return fields.getOrDefault(name, "");
+  }
+
+  boolean is(String event) {
+    return field("event").equals(event);
+  }
+}
--- /dev/null
+++ b/ctl/src/test/java/dev/cactusstack/ctl/ExplainCommandTest.java
@@ -0,0 +1,71 @@
+package dev.cactusstack.ctl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplainCommandTest {
+  private static final String ENTRY =
+      """
+      time=2026-04-01T10:00:00.000Z event=started host=entry-1 callers=10.0.0.1:80
+      time=2026-04-01T10:00:01.000Z event=configuration version=3 revision=9 evacuated=[]
+      time=2026-04-01T10:00:02.000Z event=configuration version=4 revision=12 evacuated=[]
+      time=2026-04-01T10:00:05.002Z event=sent id=r1 route=a upstream=u1 address=10.0.1.1:80 ask=7
+      time=2026-04-01T10:00:05.100Z event=sent id=r2 route=a upstream=u2 address=10.0.1.2:80 ask=8
+      not a line of ours
+      time=2026-04-01T10:00:06.000Z event=refused id=r1 route=a why=late attempts=1
+      """;
+  private static final String SCHEDULER =
+      """
+      time=2026-04-01T10:00:00.000Z event=started host=entry-2 callers=10.0.0.2:80
+      time=2026-04-01T10:00:03.000Z event=upstream id=u1 service=s state=serving
+      time=2026-04-01T10:00:05.001Z event=decided service=s asker=%1$d ask=7 outcome=placed upstream=u1
+      time=2026-04-01T10:00:05.001Z event=decided service=s asker=%2$d ask=7 outcome=placed upstream=u3
+      time=2026-04-01T10:00:05.500Z event=upstream id=u1 service=s state=leaving
+      """
+          .formatted("entry-1".hashCode(), "entry-9".hashCode());
+
+  private static CommandEnd explain(String id, String text) throws IOException {
+    var in = new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8));
+    return new ExplainCommand(id).run(List.of(), in);
+  }
+
+  @Test
+  void shouldTellEventsDecisionsAndBeliefsInOrderWhenLogsOfSeveralHostsAreGiven(@TempDir Path dir)
+      throws IOException {
+    Path a = Files.writeString(dir.resolve("a.log"), ENTRY);
+    Path b = Files.writeString(dir.resolve("b.log"), SCHEDULER);
+    CommandEnd end =
+        new ExplainCommand("r1").run(List.of(a, b), new ByteArrayInputStream(new byte[0]));
+    assertThat(end.code()).isEqualTo(ExitCode.DONE);
+    assertThat(end.output()).hasSize(5);
+    assertThat(end.output().get(0)).startsWith("believed host=entry-1").contains("version=4");
+    assertThat(end.output().get(1)).startsWith("believed host=entry-2").contains("state=serving");
+    assertThat(end.output().get(2))
+        .startsWith("host=entry-2")
+        .contains("outcome=placed upstream=u1");
+    assertThat(end.output().get(3)).startsWith("host=entry-1").contains("event=sent id=r1");
+    assertThat(end.output().get(4)).contains("why=late");
+  }
+
+  @Test
+  void shouldTakeTheHostFromTheWordBeforeTheTimeWhenLogsWereCollected() throws IOException {
+    String line = "time=2026-04-01T10:00:05.002Z event=refused id=r1 route=a why=no-room";
+    assertThat(explain("r1", "  5.1 entry-7 " + line).output())
+        .containsExactly("host=entry-7 " + line);
+  }
+
+  @Test
+  void shouldSayThatTheRequestIsUnknownWhenNoLineNamesIt() throws IOException {
+    CommandEnd end = explain("r9", ENTRY);
+    assertThat(end.code()).isEqualTo(ExitCode.INVALID);
+    assertThat(end.errors().get(0)).contains("r9").contains("logs of all hosts");
+  }
+}
