--- a/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -15,14 +17,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * Tells the life of one request from hosts' logs: its own events, the decisions of the hosts that
  * scheduled it, and what these believed of configuration and upstreams. Confined to one thread.
  */
 final class ExplainCommand {
-  private final Map<String, LogLine> beliefs = new HashMap<>();
+  private static final Duration CLOCKS_APART = Duration.ofSeconds(2);
+
   private final Map<String, List<LogLine>> decisions = new HashMap<>();
   private final List<LogLine> own = new ArrayList<>();
   private final String id;
@@ -41,7 +44,6 @@
    * @throws IOException if a file can't be read
    */
   CommandEnd run(List<Path> files, InputStream in) throws IOException {
-    // Twice: the first pass finds the request's asks and upstreams, the second what was believed.
     List<LogLine> all = new ArrayList<>();
     if (files.isEmpty()) {
       read(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8)), "input", all);
@@ -83,31 +85,41 @@
   }
 
   private List<String> tell(List<LogLine> all) {
+    Instant first = own.get(0).time();
+    Instant last = own.get(own.size() - 1).time();
     Set<LogLine> told = new HashSet<>(own);
-    Set<String> upstreams = new TreeSet<>();
+    Set<String> upstreams = new HashSet<>();
     for (LogLine l : own) {
       if (l.is("sent")) {
         upstreams.add(l.field("upstream"));
-        told.addAll(decisions.getOrDefault(ask(String.valueOf(l.host().hashCode()), l), List.of()));
+        String ask = ask(String.valueOf(l.host().hashCode()), l);
+        // A host that starts again numbers its asks from the start.
+        decisions.getOrDefault(ask, List.of()).stream()
+            .filter(d -> d.time().isAfter(first.minus(CLOCKS_APART)))
+            .filter(d -> d.time().isBefore(last.plus(CLOCKS_APART)))
+            .forEach(told::add);
       }
     }
+    Map<String, LogLine> believed = believed(all, told, upstreams, first);
+    return Stream.concat(told.stream(), believed.values().stream())
+        .sorted(Comparator.comparing(LogLine::time).thenComparing(LogLine::order))
+        .map(l -> (told.contains(l) ? "" : "believed ") + "host=" + l.host() + " " + l.text())
+        .toList();
+  }
+
+  /** Finds the last that each host had heard of the configuration and of the upstreams. */
+  private static Map<String, LogLine> believed(
+      List<LogLine> all, Set<LogLine> told, Set<String> upstreams, Instant first) {
     Set<String> hosts = new HashSet<>();
     told.forEach(l -> hosts.add(l.host()));
-    String first =
-        told.stream().map(l -> l.field("time")).min(Comparator.naturalOrder()).orElse("");
+    Map<String, LogLine> out = new HashMap<>();
     for (LogLine l : all) {
-      boolean before = l.field("time").compareTo(first) <= 0;
-      boolean about = l.is("configuration") || upstreams.contains(l.field("id"));
-      if (before && about && hosts.contains(l.host()) && !told.contains(l)) {
-        beliefs.put(l.host() + l.field("event") + l.field("id"), l);
+      boolean upstream = l.is("upstream") && upstreams.contains(l.field("id"));
+      boolean about = l.is("configuration") || upstream;
+      if (about && hosts.contains(l.host()) && !l.time().isAfter(first)) {
+        out.put(l.host() + l.field("event") + l.field("id"), l);
       }
     }
-    told.addAll(beliefs.values());
-    return told.stream()
-        .sorted(Comparator.comparing((LogLine l) -> l.field("time")).thenComparing(LogLine::order))
-        .map(
-            l ->
-                (beliefs.containsValue(l) ? "believed " : "") + "host=" + l.host() + " " + l.text())
-        .toList();
+    return out;
   }
 }
--- a/ctl/src/main/java/dev/cactusstack/ctl/LogLine.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/LogLine.java
@@ -1,5 +1,7 @@
 package dev.cactusstack.ctl;
 
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -11,16 +13,18 @@
  * One event of a host's log. Immutable and thread-safe.
  *
  * @param host the name of the host that wrote it, or of the file when the host isn't known
+ * @param time when the host wrote it, by the host's own clock
  * @param order the place of the line among all that were read
  * @param fields the pairs, {@code time} and {@code event} among them
  * @param text the line from its time on
  */
-record LogLine(String host, long order, Map<String, String> fields, String text) {
+record LogLine(String host, Instant time, long order, Map<String, String> fields, String text) {
   private static final Pattern PAIR = Pattern.compile("(\\w+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S*)");
   private static final String TIME = "time=";
 
   LogLine {
     Objects.requireNonNull(host, "host is null");
+    Objects.requireNonNull(time, "time is null");
     fields = Map.copyOf(fields);
   }
 
@@ -29,6 +33,7 @@
    *
    * @param line the line
    * @param host the host as far as it is known
+   * @param time when the host wrote it, by the host's own clock
    * @param order the place of the line
    * @return the event, or nothing when the line isn't one
    */
@@ -44,7 +49,13 @@
     for (Matcher m = PAIR.matcher(text); m.find(); ) {
       fields.putIfAbsent(m.group(1), m.group(2).replaceAll("^\"|\"$", ""));
     }
-    return Optional.of(new LogLine(last.isEmpty() ? host : last, order, fields, text));
+    String name = last.isEmpty() ? host : last;
+    try {
+      Instant time = Instant.parse(fields.getOrDefault("time", ""));
+      return Optional.of(new LogLine(name, time, order, fields, text));
+    } catch (DateTimeParseException notAnEvent) {
+      return Optional.empty();
+    }
   }
 
   String field(String name) {
