Explain reads large logs in a small heap

Cause: tried as a user would on 8 MB of logs, cactusctl explain ended with OutOfMemoryError, because it parsed and kept every line. Change: it keeps only lines that may matter, unparsed.

--- a/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
@@ -26,7 +26,8 @@
 final class ExplainCommand {
   private static final Duration CLOCKS_APART = Duration.ofSeconds(2);
 
-  private final Map<String, List<LogLine>> decisions = new HashMap<>();
+  private final List<Kept> decisions = new ArrayList<>();
+  private final List<Kept> news = new ArrayList<>();
   private final List<LogLine> own = new ArrayList<>();
   private final String id;
   private long lines;
@@ -44,47 +45,39 @@
    * @throws IOException if a file can't be read
    */
   CommandEnd run(List<Path> files, InputStream in) throws IOException {
-    List<LogLine> all = new ArrayList<>();
     if (files.isEmpty()) {
-      read(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8)), "input", all);
+      read(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8)), "input");
     }
     for (Path f : files) {
       try (BufferedReader r = Files.newBufferedReader(f, StandardCharsets.UTF_8)) {
-        read(r, String.valueOf(f.getFileName()), all);
+        read(r, String.valueOf(f.getFileName()));
       }
     }
-    all.forEach(this::sort);
     if (own.isEmpty()) {
       return CommandEnd.invalid(
           "no line of request " + id + " in " + lines + " lines", "give the logs of all hosts");
     }
-    return CommandEnd.done(tell(all));
+    return CommandEnd.done(tell());
   }
 
-  private void read(BufferedReader r, String file, List<LogLine> all) throws IOException {
+  /** Keeps the lines that may matter, unparsed, so that large logs fit into a small heap. */
+  private void read(BufferedReader r, String file) throws IOException {
     String host = file;
     for (String line = r.readLine(); line != null; line = r.readLine()) {
-      Optional<LogLine> l = LogLine.parse(line, host, ++lines);
-      if (l.isPresent()) {
-        all.add(l.get());
-        host = l.get().is("started") ? l.get().field("host") : host;
+      lines++;
+      if (line.contains(" event=started ")) {
+        host = LogLine.parse(line, host, lines).map(l -> l.field("host")).orElse(host);
+      } else if (line.contains(" id=" + id + " ") || line.endsWith(" id=" + id)) {
+        LogLine.parse(line, host, lines).ifPresent(own::add);
+      } else if (line.contains(" event=decided ")) {
+        decisions.add(new Kept(line, host, lines));
+      } else if (line.contains(" event=configuration ") || line.contains(" event=upstream ")) {
+        news.add(new Kept(line, host, lines));
       }
     }
   }
 
-  private void sort(LogLine l) {
-    if (l.field("id").equals(id) && !l.is("upstream")) {
-      own.add(l);
-    } else if (l.is("decided")) {
-      decisions.computeIfAbsent(ask(l.field("asker"), l), k -> new ArrayList<>()).add(l);
-    }
-  }
-
-  private static String ask(String asker, LogLine l) {
-    return asker + "/" + l.field("ask");
-  }
-
-  private List<String> tell(List<LogLine> all) {
+  private List<String> tell() {
     Instant first = own.get(0).time();
     Instant last = own.get(own.size() - 1).time();
     Set<LogLine> told = new HashSet<>(own);
@@ -92,15 +85,17 @@
     for (LogLine l : own) {
       if (l.is("sent")) {
         upstreams.add(l.field("upstream"));
-        String ask = ask(String.valueOf(l.host().hashCode()), l);
+        String ask = " asker=" + l.host().hashCode() + " ask=" + l.field("ask") + ' ';
         // A host that starts again numbers its asks from the start.
-        decisions.getOrDefault(ask, List.of()).stream()
+        decisions.stream()
+            .filter(d -> d.line().contains(ask))
+            .flatMap(d -> d.parse().stream())
             .filter(d -> d.time().isAfter(first.minus(CLOCKS_APART)))
             .filter(d -> d.time().isBefore(last.plus(CLOCKS_APART)))
             .forEach(told::add);
       }
     }
-    Map<String, LogLine> believed = believed(all, told, upstreams, first);
+    Map<String, LogLine> believed = believed(told, upstreams, first);
     return Stream.concat(told.stream(), believed.values().stream())
         .sorted(Comparator.comparing(LogLine::time).thenComparing(LogLine::order))
         .map(l -> (told.contains(l) ? "" : "believed ") + "host=" + l.host() + " " + l.text())
@@ -108,18 +103,23 @@
   }
 
   /** Finds the last that each host had heard of the configuration and of the upstreams. */
-  private static Map<String, LogLine> believed(
-      List<LogLine> all, Set<LogLine> told, Set<String> upstreams, Instant first) {
+  private Map<String, LogLine> believed(Set<LogLine> told, Set<String> upstreams, Instant first) {
     Set<String> hosts = new HashSet<>();
     told.forEach(l -> hosts.add(l.host()));
     Map<String, LogLine> out = new HashMap<>();
-    for (LogLine l : all) {
-      boolean upstream = l.is("upstream") && upstreams.contains(l.field("id"));
-      boolean about = l.is("configuration") || upstream;
-      if (about && hosts.contains(l.host()) && !l.time().isAfter(first)) {
-        out.put(l.host() + l.field("event") + l.field("id"), l);
-      }
+    for (Kept k : news) {
+      k.parse()
+          .filter(l -> l.is("configuration") || upstreams.contains(l.field("id")))
+          .filter(l -> hosts.contains(l.host()) && !l.time().isAfter(first))
+          .ifPresent(l -> out.put(l.host() + l.field("event") + l.field("id"), l));
     }
     return out;
   }
+
+  /** A line that may matter. */
+  private record Kept(String line, String host, long order) {
+    Optional<LogLine> parse() {
+      return LogLine.parse(line, host, order);
+    }
+  }
 }
--- a/ctl/src/main/java/dev/cactusstack/ctl/LogLine.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/LogLine.java
@@ -47,7 +47,7 @@
     String text = line.substring(at);
     Map<String, String> fields = new HashMap<>();
     for (Matcher m = PAIR.matcher(text); m.find(); ) {
-      fields.putIfAbsent(m.group(1), m.group(2).replaceAll("^\"|\"$", ""));
+      fields.putIfAbsent(m.group(1), unquoted(m.group(2)));
     }
     String name = last.isEmpty() ? host : last;
     try {
@@ -58,6 +58,11 @@
     }
   }
 
+  private static String unquoted(String v) {
+    boolean quoted = v.length() > 1 && v.startsWith("\"") && v.endsWith("\"");
+    return quoted ? v.substring(1, v.length() - 1) : v;
+  }
+
   String field(String name) {
     return fields.getOrDefault(name, "");
   }
