--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -112,26 +112,50 @@
   }
 
   /**
-   * Chooses whom to tell.
+   * Chooses whom to tell: one host anywhere, the others in this host's data centre where there are
+   * enough, because the way there is shorter and costs less.
    *
    * @param count how many hosts
    * @param nowMs the present time on the same clock
-   * @return registered hosts other than this one
+   * @return registered hosts other than this one, without repetition
    */
   public List<HostEntry> targets(int count, long nowMs) {
     List<HostEntry> others = new ArrayList<>();
-    for (Peer p : peers.values()) {
-      if (p.pulse.host() != self) {
-        others.add(p.entry);
-      }
-    }
+    peers.values().stream().filter(p -> p.pulse.host() != self).forEach(p -> others.add(p.entry));
+    List<HostEntry> near = others.stream().filter(this::near).toList();
+    List<HostEntry> out = chosen(near, count - 1);
+    others.removeAll(out);
+    out.addAll(chosen(others, count - out.size()));
+    return out;
+  }
+
+  /**
+   * Chooses hosts of this host's data centre.
+   *
+   * @param count how many at most
+   * @param nowMs the present time on the same clock
+   * @return usable hosts other than this one, without repetition
+   */
+  public List<HostEntry> nearTargets(int count, long nowMs) {
+    List<HostEntry> near =
+        usable(nowMs).stream().filter(e -> near(e) && hash(e.name()) != self).toList();
+    return chosen(near, count);
+  }
+
+  private boolean near(HostEntry e) {
+    Peer me = peers.get(self);
+    return me != null && me.entry.dataCentre().equals(e.dataCentre());
+  }
+
+  private List<HostEntry> chosen(List<HostEntry> from, int count) {
+    List<HostEntry> others = new ArrayList<>(from);
     for (int i = 0; i < Math.min(count, others.size()); i++) {
       int j = i + random.nextInt(others.size() - i);
       HostEntry e = others.get(j);
       others.set(j, others.get(i));
       others.set(i, e);
     }
-    return others.subList(0, Math.min(count, others.size()));
+    return new ArrayList<>(others.subList(0, Math.min(Math.max(0, count), others.size())));
   }
 
   /**
@@ -182,13 +206,21 @@
    * @return true when a usable host other than this one has said so
    */
   public boolean othersInformed(long nowMs) {
-    return peers.values().stream()
-        .anyMatch(
-            p ->
-                p.pulse.host() != self
-                    && p.pulse.informed()
-                    && !p.pulse.leaving()
-                    && alive(p, nowMs));
+    return peers.values().stream().anyMatch(p -> informed(p, nowMs));
+  }
+
+  /**
+   * Lists the other hosts that can be used and have said that they reach the store.
+   *
+   * @param nowMs the present time on the same clock
+   * @return their entries
+   */
+  public List<HostEntry> informed(long nowMs) {
+    return peers.values().stream().filter(p -> informed(p, nowMs)).map(p -> p.entry).toList();
+  }
+
+  private boolean informed(Peer p, long nowMs) {
+    return p.pulse.host() != self && p.pulse.informed() && !p.pulse.leaving() && alive(p, nowMs);
   }
 
   /**
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Ask.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Ask.java
@@ -14,6 +14,8 @@
  * @param onTimeMs time left until the caller's objective is missed, in milliseconds, 0 if it is
  * @param leftMs time left until the request must have its answer, in milliseconds
  * @param bodyBytes size of its body
+ * @param spare whether it is a second attempt beside a running one, which never waits and takes
+ *     only a slot that nobody waits for
  * @param tried upstreams that must not be chosen
  */
 public record Ask(
@@ -25,6 +27,7 @@
     long onTimeMs,
     long leftMs,
     int bodyBytes,
+    boolean spare,
     Set<String> tried) {
   /** Checks and copies the components. */
   public Ask {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/AttemptEnd.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/AttemptEnd.java
@@ -1,5 +1,7 @@
 package dev.cactusstack.decisions.placing;
 
+import java.util.Locale;
+
 /** How an attempt to run a request on an upstream ended. Thread-safe. */
 public enum AttemptEnd {
   /** A whole answer that isn't a server error. */
@@ -29,6 +31,15 @@
     this.fault = fault;
   }
 
+  /**
+   * Returns the word for metrics.
+   *
+   * @return lower case with hyphens
+   */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   /**
    * Tells whether this end proves that the request did not run and never will.
    *
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Expectation.java
@@ -0,0 +1,54 @@
+package dev.cactusstack.decisions.placing;
+
+import dev.cactusstack.model.site.UpstreamEntry;
+
+/**
+ * How long an answer is expected to take: the work at the upstream's pace, more with its other
+ * requests and its faults, the way there, and a connection if none can be used again. Confined to
+ * one thread.
+ *
+ * @param settings what ways and connections take
+ * @param workTimes how long work takes as usual
+ */
+record Expectation(SchedulerSettings settings, WorkTimes workTimes) {
+  private static final double OCCUPIED_WEIGHT = 0.4;
+  private static final double FAULT_WEIGHT = 4;
+  private static final double COLD_PACE = 2.5;
+  private static final double BYTES_PER_KB = 1_000;
+
+  /** The work of a request on an undisturbed upstream. */
+  double workMs(Ask ask) {
+    return workTimes.of(ask.route(), ask.objectiveMs());
+  }
+
+  /** From now to the answer, if the request is sent to the upstream now. */
+  double ms(UpstreamLoad l, Ask ask, double meanPace, long nowMs) {
+    double pace = l.expectedPace(meanPace, nowMs);
+    if (l.cold(nowMs)) {
+      pace = Math.max(pace, 1) * COLD_PACE;
+    }
+    double occupied = l.occupied(nowMs) / (double) l.entry().slots();
+    double run = workMs(ask) * pace * (1 + OCCUPIED_WEIGHT * occupied);
+    return run * (1 + FAULT_WEIGHT * l.faults()) + wayMs(l.entry(), ask) + connectMs(l, ask, nowMs);
+  }
+
+  private double wayMs(UpstreamEntry e, Ask ask) {
+    if (near(e, ask)) {
+      return 0;
+    }
+    double kb = ask.bodyBytes() / BYTES_PER_KB;
+    return settings.crossDataCentreMs() + kb * settings.crossDataCentreMsPerKb();
+  }
+
+  /** What a new connection takes: another round trip, and a slot of the upstream for a moment. */
+  private double connectMs(UpstreamLoad l, Ask ask, long nowMs) {
+    if (l.connected(ask.key().host(), nowMs)) {
+      return 0;
+    }
+    return settings.connectMs() + (near(l.entry(), ask) ? 0 : settings.crossDataCentreMs());
+  }
+
+  private static boolean near(UpstreamEntry e, Ask ask) {
+    return e.dataCentre().equals(ask.dataCentre());
+  }
+}
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -23,11 +23,8 @@
  * one thread.
  */
 public final class Scheduler {
-  private static final double OCCUPIED_WEIGHT = 0.4;
   private static final long FRESH_MS = 150;
   private static final double ASK_RATE_MEMORY_MS = 1_000;
-  private static final double FAULT_WEIGHT = 4;
-  private static final double COLD_PACE = 2.5;
   private static final double MEAN_PACE_STEP = 0.05;
   private static final long LONGEST_HOLD_MS = 10_000;
   private static final double NO_UPSTREAM_MS = 300;
@@ -39,6 +36,7 @@
   private final Map<AskKey, Held> held = new HashMap<>();
   private final WaitingLine line = new WaitingLine();
   private final WorkTimes workTimes = new WorkTimes();
+  private final Expectation expectation;
   private final ReturnTimes returnTimes = new ReturnTimes();
   private double meanPace = 1.3;
   private int coldBound;
@@ -52,6 +50,7 @@
    */
   public Scheduler(SchedulerSettings settings) {
     this.settings = settings;
+    this.expectation = new Expectation(settings, workTimes);
   }
 
   /**
@@ -87,6 +86,9 @@
   public List<Verdict> ask(Ask ask, long nowMs) {
     askRate = askRate(nowMs) + 1 / ASK_RATE_MEMORY_MS;
     askRateAtMs = nowMs;
+    if (ask.spare()) {
+      return List.of(spare(ask, nowMs));
+    }
     if (loads.values().stream().allMatch(l -> ask.tried().contains(l.entry().id()))) {
       return List.of(turnAway(ask, NO_UPSTREAM_MS, nowMs));
     }
@@ -105,6 +107,18 @@
     return List.of(new Verdict.Waits(ask.key()));
   }
 
+  /**
+   * Places a second attempt if a slot is left over. Under high load it would take the slot of a
+   * request that has none.
+   */
+  private Verdict spare(Ask ask, long nowMs) {
+    Optional<Verdict> place =
+        line.size() > 0
+            ? Optional.empty()
+            : tryPlace(new WaitingLine.Waiting(ask, nowMs, 0), nowMs);
+    return place.orElseGet(() -> new Verdict.TurnedAway(ask.key(), 0));
+  }
+
   /** Lets a request wait that can be on time, in place of the oldest if too many wait. */
   private List<Verdict> waitOnTime(Ask ask, long nowMs) {
     line.add(ask, nowMs);
@@ -118,7 +132,7 @@
 
   /** How many requests can get a slot while the newest of them can still be on time. */
   private double mostOnTime(Ask ask) {
-    double wait = Math.max(0, ask.onTimeMs() - workMs(ask) * ON_TIME_SLACK);
+    double wait = Math.max(0, ask.onTimeMs() - expectation.workMs(ask) * ON_TIME_SLACK);
     return 1 + wait / eachMs(ask);
   }
 
@@ -245,7 +259,7 @@
   }
 
   private boolean onTime(WaitingLine.Waiting w, long nowMs) {
-    return w.onTimeMs(nowMs) >= workMs(w.ask()) * ON_TIME_SLACK;
+    return w.onTimeMs(nowMs) >= expectation.workMs(w.ask()) * ON_TIME_SLACK;
   }
 
   private static double longestWaitMs(Ask ask) {
@@ -316,21 +330,17 @@
     if (best.isEmpty()) {
       return Optional.empty();
     }
-    double expected = expectedMs(best.get(), w.ask(), nowMs);
+    double expected = expectation.ms(best.get(), w.ask(), meanPace, nowMs);
     double bound = onTime(w, nowMs) ? w.onTimeMs(nowMs) : w.leftMs(nowMs);
     return expected <= bound ? Optional.of(place(w.ask(), best.get(), nowMs)) : Optional.empty();
   }
 
   private Verdict place(Ask ask, UpstreamLoad load, long nowMs) {
-    load.hold(ask.key(), workMs(ask), nowMs);
+    load.hold(ask.key(), expectation.workMs(ask), nowMs);
     held.put(ask.key(), new Held(ask, load.entry().id(), nowMs));
     return new Verdict.Placed(ask.key(), load.entry());
   }
 
-  private double workMs(Ask ask) {
-    return workTimes.of(ask.route(), ask.objectiveMs());
-  }
-
   private Optional<UpstreamLoad> best(Ask ask, long nowMs) {
     UpstreamLoad best = null;
     double bestMs = Double.MAX_VALUE;
@@ -339,7 +349,7 @@
       if (!eligible(l, ask.tried(), allRest, nowMs)) {
         continue;
       }
-      double ms = expectedMs(l, ask, nowMs);
+      double ms = expectation.ms(l, ask, meanPace, nowMs);
       if (ms < bestMs) {
         best = l;
         bestMs = ms;
@@ -361,24 +371,6 @@
     return !l.resting(nowMs) && (!l.onTrial() || l.idle());
   }
 
-  private double expectedMs(UpstreamLoad l, Ask ask, long nowMs) {
-    double pace = l.expectedPace(meanPace, nowMs);
-    if (l.cold(nowMs)) {
-      pace = Math.max(pace, 1) * COLD_PACE;
-    }
-    double occupied = l.occupied(nowMs) / (double) l.entry().slots();
-    double run = workMs(ask) * pace * (1 + OCCUPIED_WEIGHT * occupied);
-    return run * (1 + FAULT_WEIGHT * l.faults()) + wayMs(l.entry(), ask);
-  }
-
-  private double wayMs(UpstreamEntry e, Ask ask) {
-    if (e.dataCentre().equals(ask.dataCentre())) {
-      return 0;
-    }
-    double kb = ask.bodyBytes() / 1_000.0;
-    return settings.crossDataCentreMs() + kb * settings.crossDataCentreMsPerKb();
-  }
-
   private double expectedWaitMs(Ask ask) {
     return (line.size() + 1) * eachMs(ask);
   }
@@ -386,7 +378,7 @@
   /** Time between two requests like this that the service can take. */
   private double eachMs(Ask ask) {
     int slots = loads.values().stream().mapToInt(l -> l.entry().slots()).sum();
-    return workMs(ask) * meanPace / Math.max(1, slots);
+    return expectation.workMs(ask) * meanPace / Math.max(1, slots);
   }
 
   private record Held(Ask ask, String upstream, long sinceMs) {}
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/SchedulerSettings.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/SchedulerSettings.java
@@ -5,6 +5,7 @@
  *
  * @param crossDataCentreMs time that a round trip to another data centre takes, in milliseconds
  * @param crossDataCentreMsPerKb time that a KB of a body weighs when it goes to another data centre
+ * @param connectMs time that making a connection weighs, in milliseconds, besides the way
  * @param coldShare part of the bound on cold upstreams that one scheduler may use
  * @param coldFactor factor on the rate that a cold upstream bears
  * @param coldSlack requests a second beyond that
@@ -12,6 +13,7 @@
 public record SchedulerSettings(
     double crossDataCentreMs,
     double crossDataCentreMsPerKb,
+    double connectMs,
     double coldShare,
     double coldFactor,
     double coldSlack) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -22,8 +22,10 @@
   private static final long REST_MS = 400;
   private static final int MAX_REST_DOUBLINGS = 3;
   private static final double OVERDUE_RATIO = 2.0;
+  private static final long CONNECTION_KEPT_MS = 5_000;
 
   private final Map<AskKey, Hold> holds = new HashMap<>();
+  private final Map<Integer, Long> usedBy = new HashMap<>();
   private final ColdBound coldBound = new ColdBound();
   private UpstreamEntry entry;
   private long coldUntilMs;
@@ -48,6 +50,7 @@
   void announce(UpstreamEntry e, long nowMs) {
     if (!e.sameIncarnation(entry)) {
       holds.clear();
+      usedBy.clear();
       faults = 0;
       rests = 0;
       restUntilMs = nowMs;
@@ -89,6 +92,7 @@
 
   void hold(AskKey key, double expectedMs, long nowMs) {
     holds.put(key, new Hold(nowMs, expectedMs));
+    usedBy.values().removeIf(at -> nowMs - at >= CONNECTION_KEPT_MS);
     coldBound.count(nowMs);
   }
 
@@ -99,6 +103,9 @@
   /** Takes a report in. */
   void ended(Report r, long nowMs) {
     holds.remove(r.key());
+    if (r.end() == AttemptEnd.ANSWERED) {
+      usedBy.put(r.key().host(), nowMs);
+    }
     r.load().ifPresent(l -> told(l, nowMs));
     if (r.end().fault()) {
       fault(nowMs);
@@ -108,6 +115,12 @@
     }
   }
 
+  /** Tells whether a host is likely to have a connection that it can use again. */
+  boolean connected(int host, long nowMs) {
+    Long at = usedBy.get(host);
+    return at != null && nowMs - at < CONNECTION_KEPT_MS;
+  }
+
   /** Takes in what the upstream answered to a probe. */
   void probed(LoadFigures l, long nowMs) {
     told(l, nowMs);
--- a/decisions/src/test/java/dev/cactusstack/decisions/directory/DirectoryPolicyTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/directory/DirectoryPolicyTest.java
@@ -16,7 +16,7 @@
     List<HostEntry> out = new ArrayList<>();
     for (int i = 1; i <= count; i++) {
       var a = new Address("127.0.0.1", i);
-      out.add(new HostEntry(dataCentre + i, dataCentre, a, a, 1));
+      out.add(new HostEntry(dataCentre + i, dataCentre, a, a, 600, 1));
     }
     return out;
   }
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -22,7 +22,12 @@
   private static HostEntry host(String name, long incarnation) {
     int port = 1_000 + Math.floorMod(name.hashCode(), 50_000);
     return new HostEntry(
-        name, "dc", new Address("127.0.0.1", port), new Address("127.0.0.2", port), incarnation);
+        name,
+        "dc",
+        new Address("127.0.0.1", port),
+        new Address("127.0.0.2", port),
+        600,
+        incarnation);
   }
 
   /** Hosts that gossip in virtual time; messages to and from the silent ones are lost. */
@@ -132,4 +137,22 @@
     site.run(4_000);
     assertThat(site.tables.get("host-0").othersInformed(site.nowMs)).isFalse();
   }
+
+  @Test
+  void shouldTellHostsOfItsDataCentreAndOneAnywhere() {
+    var a = new Address("127.0.0.1", 80);
+    var table = new PeerTable("near0", 3_500, new java.util.Random(3));
+    for (int i = 0; i < 20; i++) {
+      table.learn(new HostEntry("near" + i, "near", a, a, 600, 1), 0);
+      table.learn(new HostEntry("far" + i, "far", a, a, 600, 1), 0);
+    }
+    int far = 0;
+    for (int round = 0; round < 300; round++) {
+      List<HostEntry> told = table.targets(3, 0);
+      assertThat(told).hasSize(3).doesNotHaveDuplicates();
+      assertThat(told).extracting(HostEntry::name).doesNotContain("near0");
+      far += (int) told.stream().filter(e -> e.dataCentre().equals("far")).count();
+    }
+    assertThat(far).isBetween(100, 220);
+  }
 }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -4,7 +4,9 @@
 import dev.cactusstack.model.site.ServiceRule;
 import dev.cactusstack.model.site.UpstreamEntry;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +19,7 @@
  * on the same arrivals, work and slow-downs.
  */
 final class Replay {
-  private static final SchedulerSettings SETTINGS = new SchedulerSettings(12, 1, 0.45, 1.5, 5);
+  private static final SchedulerSettings SETTINGS = new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5);
   private static final long OBJECTIVE_MS = 300;
   private static final long LEFT_MS = 1_000;
   private static final double WORK_MS = 90;
@@ -26,6 +28,8 @@
   private static final long PROBE_MS = 50;
   private static final long WAY_MS = 5;
   private static final long HANG_MS = 100_000;
+  private static final int HOSTS = 6;
+  private static final long SECOND_AFTER_MS = 140;
 
   /** How the load and the upstreams change over time. */
   interface Pattern {
@@ -133,20 +137,39 @@
   }
 
   Outcome scheduled(boolean probes) {
+    return scheduled(probes, Second.NONE);
+  }
+
+  /** What happens to a request that has not been answered for a while. */
+  enum Second {
+    /** Nothing. */
+    NONE,
+    /** It asks for a second slot as if it were a new request. */
+    LIKE_FIRST,
+    /** It asks for a second slot that is left over. */
+    SPARE
+  }
+
+  Outcome scheduled(boolean probes, Second second) {
     var scheduler = new Scheduler(SETTINGS);
     var rule = new ServiceRule("s", "/h", 100, 3_000, 14);
     List<Job> running = new ArrayList<>();
     Map<AskKey, Arrival> asked = new HashMap<>();
+    Set<Arrival> done = Collections.newSetFromMap(new IdentityHashMap<>());
+    Set<Arrival> again = Collections.newSetFromMap(new IdentityHashMap<>());
     var probing = new PriorityQueue<long[]>((a, b) -> Long.compare(a[0], b[0]));
     var tally = new Tally();
     int next = 0;
+    long seconds = 0;
     for (long now = 0; now < lengthMs + LEFT_MS; now += STEP_MS) {
       if (now % 500 == 0) {
         scheduler.upstreams(rule, entries(now), now);
       }
       List<Verdict> verdicts = new ArrayList<>();
       for (Job j : advance(running, now)) {
-        tally.ended(j.arrival, now);
+        if (done.add(j.arrival)) {
+          tally.ended(j.arrival, now);
+        }
         long took = now - j.arrival.atMs;
         verdicts.addAll(scheduler.report(report(j, took, now), now));
       }
@@ -162,11 +185,35 @@
         }
       }
       for (; next < arrivals.size() && arrivals.get(next).atMs <= now; next++) {
-        var key = new AskKey(1, next);
+        var key = new AskKey(1 + next % HOSTS, next);
         asked.put(key, arrivals.get(next));
         verdicts.addAll(
             scheduler.ask(
-                new Ask(key, "dc", "r", 1, OBJECTIVE_MS, OBJECTIVE_MS, LEFT_MS, 0, Set.of()), now));
+                new Ask(key, "dc", "r", 1, OBJECTIVE_MS, OBJECTIVE_MS, LEFT_MS, 0, false, Set.of()),
+                now));
+      }
+      for (Job j : second == Second.NONE ? List.<Job>of() : List.copyOf(running)) {
+        if (now - j.arrival.atMs >= SECOND_AFTER_MS && again.add(j.arrival)) {
+          var key = new AskKey(0, ++seconds);
+          asked.put(key, j.arrival);
+          long passed = now - j.arrival.atMs;
+          boolean spare = second == Second.SPARE;
+          Set<String> tried = Set.of("u" + j.upstream);
+          verdicts.addAll(
+              scheduler.ask(
+                  new Ask(
+                      key,
+                      "dc",
+                      "r",
+                      1,
+                      OBJECTIVE_MS,
+                      Math.max(0, OBJECTIVE_MS - passed),
+                      Math.max(0, LEFT_MS - passed),
+                      0,
+                      spare,
+                      tried),
+                  now));
+        }
       }
       if (now % 20 == 0) {
         verdicts.addAll(scheduler.tick(now));
@@ -177,7 +224,7 @@
           Arrival a = asked.get(v.key());
           tally.sent(u, now);
           running.add(new Job(a, v.key(), u, a.workMs));
-        } else if (v instanceof Verdict.TurnedAway) {
+        } else if (v instanceof Verdict.TurnedAway && v.key().host() != 0) {
           tally.turnedAway++;
         }
       }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
@@ -176,4 +176,25 @@
     assertThat(o.turnedAway()).isZero();
     assertThat(o.onTime()).isGreaterThanOrEqualTo((int) (o.asked() * 0.99));
   }
+
+  @Test
+  void shouldServeMoreOnTimeWhenSecondAttemptsTakeOnlyWhatIsLeftOver() {
+    Replay r =
+        replay(
+            new Replay.Pattern() {
+              @Override
+              public double rate(long nowMs) {
+                return 200;
+              }
+
+              @Override
+              public double pace(int upstream, long nowMs) {
+                return Replay.noise(SEED, upstream, nowMs, 0.35, 7);
+              }
+            });
+    Replay.Outcome before = r.scheduled(true, Replay.Second.LIKE_FIRST);
+    Replay.Outcome after = r.scheduled(true, Replay.Second.SPARE);
+    assertThat(after.onTime()).isGreaterThan(before.onTime());
+    assertThat(after.turnedAway()).isLessThan(before.turnedAway());
+  }
 }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
-  private static final SchedulerSettings SETTINGS = new SchedulerSettings(12, 1, 0.45, 1.5, 5);
+  private static final SchedulerSettings SETTINGS = new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5);
   private static final ServiceRule RULE = new ServiceRule("s", "/health", 100, 3_000, 14);
 
   private final Scheduler scheduler = new Scheduler(SETTINGS);
@@ -30,7 +30,8 @@
   }
 
   private Ask ask(long onTimeMs, long leftMs, String... tried) {
-    return new Ask(new AskKey(1, ++number), "dc", "r", 1, 300, onTimeMs, leftMs, 0, Set.of(tried));
+    return new Ask(
+        new AskKey(1, ++number), "dc", "r", 1, 300, onTimeMs, leftMs, 0, false, Set.of(tried));
   }
 
   private Verdict one(Ask ask, long nowMs) {
@@ -215,10 +216,42 @@
     UpstreamEntry far =
         new UpstreamEntry("far", "s", new Address("127.0.0.1", 80), "dc2", 4, false, 0, 1);
     scheduler.upstreams(RULE, List.of(upstream("near", 4, 0), far), 0);
-    var upload = new Ask(new AskKey(1, 1), "dc2", "r", 1, 300, 300, 1_000, 60_000, Set.of());
+    var upload = new Ask(new AskKey(1, 1), "dc2", "r", 1, 300, 300, 1_000, 60_000, false, Set.of());
     assertThat(placed(one(upload, 0))).isEqualTo("far");
   }
 
+  private Verdict spare(long nowMs, String... tried) {
+    var key = new AskKey(1, ++number);
+    return one(new Ask(key, "dc", "r", 1, 300, 300, 1_000, 0, true, Set.of(tried)), nowMs);
+  }
+
+  @Test
+  void shouldPlaceASecondAttemptWhenASlotIsLeftOver() {
+    scheduler.upstreams(RULE, List.of(upstream("a", 2, 0), upstream("b", 2, 0)), 0);
+    assertThat(placed(spare(0, "a"))).isEqualTo("b");
+  }
+
+  @Test
+  void shouldTurnASecondAttemptAwayAtOnceWhenNoSlotIsLeftOver() {
+    scheduler.upstreams(RULE, List.of(upstream("a", 1, 0)), 0);
+    one(ask(300), 0);
+    assertThat(spare(0)).isInstanceOf(Verdict.TurnedAway.class);
+    assertThat(scheduler.busy()).isFalse();
+  }
+
+  @Test
+  void shouldPreferAnUpstreamToWhichTheHostHasAConnection() {
+    scheduler.upstreams(
+        RULE, List.of(upstream("a", 2, 0), upstream("b", 2, 0), upstream("c", 2, 0)), 0);
+    Verdict first = one(ask(300), 0);
+    scheduler.report(end(first, AttemptEnd.ANSWERED, 100), 90);
+    scheduler.probes(90);
+    for (String u : List.of("a", "b", "c")) {
+      scheduler.probed(u, new LoadFigures(0, 0, 2, 100), 95);
+    }
+    assertThat(placed(one(ask(300), 100))).isEqualTo(placed(first));
+  }
+
   @Test
   void shouldTurnAwayWhenEveryUpstreamWasTried() {
     scheduler.upstreams(RULE, List.of(upstream("a", 4, 0)), 0);
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.gateway.callers.CallersPort;
 import dev.cactusstack.gateway.callers.Filter;
+import dev.cactusstack.gateway.callers.MetricsFilter;
 import dev.cactusstack.gateway.callers.RequestTools;
 import dev.cactusstack.gateway.callers.ServeFilter;
 import dev.cactusstack.gateway.control.ConfigurationController;
@@ -13,6 +14,7 @@
 import dev.cactusstack.gateway.net.ClientLimits;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.observe.Figures;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.Placement;
@@ -44,11 +46,13 @@
   private static final long EXIT_MARGIN_MS = 500;
   private static final int ENOUGH_HOSTS = 2;
   private static final int MOST_HOSTS = 64;
+  private static final long FIRST_ASKS = 1L << 40;
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long IDLE_CONNECTION_MS = 8_000;
   private static final int MAX_ANSWER_BYTES = 16 << 20;
   private static final double CROSS_DATA_CENTRE_MS = 12;
   private static final double CROSS_DATA_CENTRE_MS_PER_KB = 1;
+  private static final double CONNECT_MS = 12;
   private static final double COLD_SHARE = 0.45;
   private static final double REPEAT_RATIO_SHARE = 0.9;
   private static final double REPEAT_ALLOWANCE_SHARE = 0.8;
@@ -68,6 +72,7 @@
   private final CallersPort callers;
   private final CallersPort readiness;
   private final CallersPort directory;
+  private final CallersPort metrics;
   private boolean leaving;
 
   /**
@@ -96,13 +101,19 @@
     this.clock = clock;
     this.log = log;
     this.random = random;
-    this.configuration = new ConfigurationController(loop, clock, log, store);
+    this.configuration =
+        new ConfigurationController(loop, clock, log, store, this::readsConfiguration);
     this.upstreams = new UpstreamsController(loop, clock, log, store, configuration::inForce);
     this.peers = new PeerTable(settings.host(), DEAD_AFTER_MS, random);
     this.link = new Link(loop, log);
     var self =
         new HostEntry(
-            settings.host(), settings.dataCentre(), settings.callers(), settings.link(), 0);
+            settings.host(),
+            settings.dataCentre(),
+            settings.callers(),
+            settings.link(),
+            settings.milliCores(),
+            0);
     this.hosts =
         new HostsController(
             loop,
@@ -116,10 +127,12 @@
             random,
             () -> !configuration.failing() && !upstreams.failing());
     GatewaySettings.Bounds b = settings.bounds();
+    var figures = new Figures();
     var schedulerSettings =
         new SchedulerSettings(
             CROSS_DATA_CENTRE_MS,
             CROSS_DATA_CENTRE_MS_PER_KB,
+            CONNECT_MS,
             COLD_SHARE,
             b.coldFactor(),
             b.coldSlack());
@@ -128,6 +141,7 @@
             loop,
             new ClientLimits(CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, false, MAX_ANSWER_BYTES),
             clock);
+    var prober = new Prober(client, wire);
     var schedulers =
         new Schedulers(
             loop,
@@ -135,20 +149,41 @@
             log,
             schedulerSettings,
             upstreams,
-            new Prober(client, wire),
+            prober,
             () -> peers.othersInformed(clock.getAsLong()));
-    this.placement = new Placement(loop, clock, log, link, peers, schedulers, settings.host());
+    this.placement =
+        new Placement(
+            loop,
+            clock,
+            log,
+            link,
+            peers,
+            schedulers,
+            settings.host(),
+            random.nextLong(FIRST_ASKS));
     var budget =
         new RequestTools.RepeatBudget(
             b.repeatWindowMs(),
             b.repeatRatio() * REPEAT_RATIO_SHARE,
             () -> b.repeatAllowance() * REPEAT_ALLOWANCE_SHARE / peers.size());
     var tools =
-        new RequestTools(settings.dataCentre(), loop, clock, log, wire, client, placement, budget);
+        new RequestTools(
+            settings.dataCentre(), loop, clock, log, wire, client, placement, budget, figures);
     Endpoints e = endpoints.apply(this);
     this.callers = port(List.of(new ServeFilter(configuration, tools)));
     this.readiness = port(List.of(e.readiness()));
     this.directory = port(List.of(e.directory()));
+    this.metrics = port(List.of(new MetricsFilter(figures)));
+    count(figures, store, prober);
+  }
+
+  private void count(Figures f, SiteStore store, Prober prober) {
+    f.total("cactusstack_store_calls", "Calls of the store", store::calls);
+    f.total("cactusstack_store_failures", "Calls of the store without result", store::failedCalls);
+    f.total("cactusstack_upstream_connections", "Connections opened", client::opened);
+    f.total("cactusstack_upstream_probes", "Probes of upstreams", prober::sent);
+    f.total("cactusstack_link_messages", "Messages sent to other hosts", link::sent);
+    f.total("cactusstack_log_lines_dropped", "Log lines that were dropped", log::dropped);
   }
 
   /**
@@ -179,13 +214,16 @@
     directory
         .open(settings.directory())
         .addListener(f -> failIf(f.cause(), opened, settings.directory()));
+    metrics
+        .open(settings.metrics())
+        .addListener(f -> failIf(f.cause(), opened, settings.metrics()));
     link.open(settings.link(), this::received)
         .addListener(
             f -> {
               failIf(f.cause(), opened, settings.link());
               opened.complete(null);
             });
-    configuration.start(upstreams::configurationChanged);
+    configuration.start(upstreams::configurationChanged, hosts::tellOfChange);
     hosts.start();
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     return opened;
@@ -203,17 +241,26 @@
 
   private void received(LinkMessage m, Address from) {
     if (m instanceof LinkMessage.Beat b) {
-      hosts.heard(b);
+      hosts.heard(b, from);
+    } else if (m instanceof LinkMessage.Rules r) {
+      configuration.told(r.known());
+    } else if (m instanceof LinkMessage.RulesWanted w) {
+      hosts.wanted(w, from);
     } else {
       placement.received(m, from);
     }
   }
 
+  private boolean readsConfiguration() {
+    return hosts.reads();
+  }
+
   private void sweep() {
     client.closeIdle();
     callers.sweep();
     readiness.sweep();
     directory.sweep();
+    metrics.sweep();
   }
 
   /**
--- a/gateway/src/main/java/dev/cactusstack/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/GatewaySettings.java
@@ -11,7 +11,9 @@
  * @param callers where callers connect
  * @param readiness where the site asks whether the host is ready
  * @param directory where callers ask for addresses
+ * @param metrics where the host's metrics are served
  * @param link where other hosts send datagrams
+ * @param milliCores the processor that the host has, in thousandths of a core
  * @param bounds what the site holds the host to
  */
 public record GatewaySettings(
@@ -20,7 +22,9 @@
     Address callers,
     Address readiness,
     Address directory,
+    Address metrics,
     Address link,
+    int milliCores,
     Bounds bounds) {
   /** Checks the components. */
   public GatewaySettings {
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
@@ -229,7 +229,9 @@
   }
 
   private void linger() {
-    ((DuplexChannel) channel).shutdownOutput();
+    if (channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+    }
     channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/MetricsFilter.java
@@ -0,0 +1,30 @@
+package dev.cactusstack.gateway.callers;
+
+import dev.cactusstack.gateway.observe.Figures;
+import dev.cactusstack.gateway.observe.FiguresText;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Answers questions for the host's metrics. Confined to the event loop.
+ *
+ * @param figures what the host has counted
+ */
+public record MetricsFilter(Figures figures) implements Filter {
+  private static final String PATH = "/metrics";
+  private static final int OK = 200;
+
+  @Override
+  public Optional<Running> take(CallerRequest request, Consumer<CallerAnswer> answer) {
+    if (!request.target().equals(PATH)) {
+      return Optional.empty();
+    }
+    HttpHeaders h = new DefaultHttpHeaders();
+    h.set(HttpHeaderNames.CONTENT_TYPE, FiguresText.CONTENT_TYPE);
+    answer.accept(new CallerAnswer(OK, h, FiguresText.of(figures)));
+    return Optional.of(Running.NOTHING);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ReplyJudge.java
@@ -0,0 +1,56 @@
+package dev.cactusstack.gateway.callers;
+
+import dev.cactusstack.decisions.placing.AttemptEnd;
+import dev.cactusstack.gateway.net.Reply;
+import dev.cactusstack.gateway.site.UpstreamWire;
+import java.util.Set;
+
+/**
+ * Tells what an upstream's reply proves. Immutable and thread-safe.
+ *
+ * @param wire header fields
+ */
+record ReplyJudge(UpstreamWire wire) {
+  private static final int MISDIRECTED = 421;
+  private static final int SERVER_ERROR = 500;
+  private static final int SUCCESS = 200;
+  private static final int REDIRECT = 300;
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
+  /** How the attempt ended that brought the reply. */
+  AttemptEnd end(Reply reply) {
+    if (reply instanceof Reply.NotSent) {
+      return AttemptEnd.UNREACHABLE;
+    }
+    if (reply instanceof Reply.Broken) {
+      return AttemptEnd.BROKEN;
+    }
+    if (!(reply instanceof Reply.Answer r)) {
+      return AttemptEnd.TIMED_OUT;
+    }
+    if (wire.notRun(r.status(), r.headers())) {
+      return r.status() == MISDIRECTED ? AttemptEnd.WRONG_INSTANCE : AttemptEnd.REFUSED;
+    }
+    boolean success = r.status() >= SUCCESS && r.status() < REDIRECT;
+    if (success && !wire.signed(r.headers())) {
+      return AttemptEnd.BROKEN;
+    }
+    return r.status() >= SERVER_ERROR ? AttemptEnd.FAILED : AttemptEnd.ANSWERED;
+  }
+
+  /** Tells whether an upstream's own failure can be passed on without promising too much. */
+  boolean passable(Reply.Answer r) {
+    return wire.signed(r.headers()) && !NOT_RUN_STATUSES.contains(r.status());
+  }
+
+  /** Says for a log line why a reply is no good answer. */
+  static String cause(Reply reply) {
+    if (reply instanceof Reply.Answer r) {
+      return "status " + r.status();
+    }
+    if (reply instanceof Reply.NotSent n) {
+      return n.cause();
+    }
+    return reply instanceof Reply.Broken b ? b.cause() : "late";
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestRun.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.gateway.net.Outgoing;
 import dev.cactusstack.gateway.net.Reply;
 import dev.cactusstack.gateway.observe.EventLine;
+import dev.cactusstack.gateway.observe.RouteFigures;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamEntry;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -32,16 +33,11 @@
  * to have run. Confined to the event loop.
  */
 final class RequestRun implements Filter.Running {
-  private static final int MISDIRECTED = 421;
-  private static final int SERVER_ERROR = 500;
-  private static final int SUCCESS = 200;
-  private static final int REDIRECT = 300;
-  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
   private static final int SENDS_BEYOND_ATTEMPTS = 2;
   private static final long LEAST_TIME_MS = 5;
-  private static final long PROVED_IDLE_MS = 2_500;
   private static final long EXCHANGE_SLACK_MS = 1_000;
   private static final long REFUSED_RETRY_MS = 40;
+  private static final long AT_ONCE_MS = 40;
 
   private final RequestTools tools;
   private final CallerRequest request;
@@ -84,7 +80,7 @@
   void start() {
     tools.repeats(service).request(now());
     endTimer = tools.loop().schedule(this::timeOver, Math.max(1, left()), TimeUnit.MILLISECONDS);
-    ask();
+    ask(false);
   }
 
   @Override
@@ -93,6 +89,7 @@
       return;
     }
     event("cancelled").with("attempts", sends).write();
+    figures().refused("cancelled");
     done = true;
     stopTimers();
     withdraw();
@@ -101,7 +98,7 @@
     }
   }
 
-  private void ask() {
+  private void ask(boolean spare) {
     AskKey key = tools.placement().nextKey();
     asking = key;
     var ask =
@@ -114,15 +111,25 @@
             Math.max(0, onTimeAtMs - now()),
             Math.max(0, left()),
             request.body().length,
+            spare,
             tried);
-    tools.placement().place(service, ask, this::decided);
+    tools.placement().place(service, ask, v -> decided(v, spare));
   }
 
-  private void decided(Verdict v) {
+  private void decided(Verdict v, boolean spare) {
     asking = null;
     if (v instanceof Verdict.Placed p) {
       placed(p);
     } else if (v instanceof Verdict.TurnedAway t && running.isEmpty()) {
+      turnedAway(t, spare);
+    }
+  }
+
+  /** A second attempt that got no slot, while the first has failed meanwhile, asks like a first. */
+  private void turnedAway(Verdict.TurnedAway t, boolean spare) {
+    if (spare && left() > LEAST_TIME_MS) {
+      ask(false);
+    } else {
       giveUp(Refusal.NO_ROOM, t.retryAfterMs());
     }
   }
@@ -133,7 +140,7 @@
       report(p.key(), p.upstream(), AttemptEnd.UNUSED, 0, Optional.empty());
       return;
     }
-    if (again && !tools.mayRepeat(service)) {
+    if (again && !mayRepeat()) {
       report(p.key(), p.upstream(), AttemptEnd.UNUSED, 0, Optional.empty());
       event("no_repeat").with("why", "budget").write();
       if (running.isEmpty()) {
@@ -144,6 +151,12 @@
     send(p);
   }
 
+  private boolean mayRepeat() {
+    boolean allowed = tools.mayRepeat(service);
+    figures().repeat(allowed);
+    return allowed;
+  }
+
   private void send(Verdict.Placed p) {
     UpstreamEntry u = p.upstream();
     sends++;
@@ -152,6 +165,7 @@
     tools.wire().address(headers, left(), u.id());
     var attempt = new Attempt(p.key(), u, now());
     running.add(attempt);
+    figures().sent(now() - request.arrivedMs());
     event("sent")
         .with("upstream", u.id())
         .with("address", u.address().toString())
@@ -169,7 +183,7 @@
             headers,
             request.body(),
             this::mine,
-            route.kind().repeatable() ? Long.MAX_VALUE : PROVED_IDLE_MS);
+            tools.rest(service).mostMs(route.kind().repeatable(), now()));
     attempt.exchange =
         tools.client().send(outgoing, left() + EXCHANGE_SLACK_MS, reply -> ended(attempt, reply));
     if (sends == 1 && route.kind().repeatable() && route.maxAttempts() > 1) {
@@ -190,7 +204,7 @@
   private void hedge() {
     if (!done && asking == null && running.size() == 1 && runs + 1 < route.maxAttempts()) {
       event("hedge").with("after_ms", now() - running.get(0).sinceMs).write();
-      ask();
+      ask(true);
     }
   }
 
@@ -198,8 +212,12 @@
     running.remove(a);
     Optional<LoadFigures> load =
         reply instanceof Reply.Answer r ? tools.wire().load(r.headers()) : Optional.empty();
-    AttemptEnd end = judge(reply);
+    AttemptEnd end = tools.judge().end(reply);
     report(a.key, a.upstream, end, now() - a.sinceMs, load);
+    figures().attemptEnded(end.label());
+    if (reply instanceof Reply.Broken && now() - a.sinceMs <= AT_ONCE_MS && a.exchange != null) {
+      tools.rest(service).reset(a.exchange.restedMs(), now());
+    }
     if (end != AttemptEnd.UNREACHABLE) {
       arrivals++;
     }
@@ -218,42 +236,12 @@
     event("attempt_ended")
         .with("upstream", a.upstream.id())
         .with("end", end.name())
-        .with("cause", cause(reply))
+        .with("cause", ReplyJudge.cause(reply))
         .with("took_ms", now() - a.sinceMs)
         .write();
     next(end, reply);
   }
 
-  private static String cause(Reply reply) {
-    if (reply instanceof Reply.Answer r) {
-      return "status " + r.status();
-    }
-    if (reply instanceof Reply.NotSent n) {
-      return n.cause();
-    }
-    return reply instanceof Reply.Broken b ? b.cause() : "late";
-  }
-
-  private AttemptEnd judge(Reply reply) {
-    if (reply instanceof Reply.NotSent) {
-      return AttemptEnd.UNREACHABLE;
-    }
-    if (reply instanceof Reply.Broken) {
-      return AttemptEnd.BROKEN;
-    }
-    if (!(reply instanceof Reply.Answer r)) {
-      return AttemptEnd.TIMED_OUT;
-    }
-    if (tools.wire().notRun(r.status(), r.headers())) {
-      return r.status() == MISDIRECTED ? AttemptEnd.WRONG_INSTANCE : AttemptEnd.REFUSED;
-    }
-    boolean success = r.status() >= SUCCESS && r.status() < REDIRECT;
-    if (success && !tools.wire().signed(r.headers())) {
-      return AttemptEnd.BROKEN;
-    }
-    return r.status() >= SERVER_ERROR ? AttemptEnd.FAILED : AttemptEnd.ANSWERED;
-  }
-
   /** Decides what follows an attempt that brought no good answer. */
   private void next(AttemptEnd end, Reply reply) {
     if (!running.isEmpty() || asking != null) {
@@ -264,7 +252,7 @@
         runs < route.maxAttempts() && sends < route.maxAttempts() + SENDS_BEYOND_ATTEMPTS;
     lastFailure = reply;
     if (allowed && attemptsLeft && left() > LEAST_TIME_MS) {
-      ask();
+      ask(false);
       return;
     }
     giveUp(end.notRun() ? Refusal.NOT_RUN : Refusal.NO_ANSWER, REFUSED_RETRY_MS);
@@ -277,6 +265,7 @@
 
   private void deliver(Reply.Answer r, UpstreamEntry by) {
     finish();
+    figures().answered(now() - request.arrivedMs());
     event("answered")
         .with("status", r.status())
         .with("upstream", by.id())
@@ -300,12 +289,14 @@
   /** Answers a request that no upstream has served. */
   private void giveUp(Refusal why, long retryAfterMs) {
     finish();
-    if (lastFailure instanceof Reply.Answer r && mayHaveRun && passable(r)) {
+    if (lastFailure instanceof Reply.Answer r && mayHaveRun && tools.judge().passable(r)) {
       event("answered").with("status", r.status()).with("attempts", sends).write();
+      figures().answered(now() - request.arrivedMs());
       answer.accept(new CallerAnswer(r.status(), ForwardedFields.of(r.headers()), r.body()));
       return;
     }
     Refusal told = told(why);
+    figures().refused(told.label());
     event("refused")
         .with("why", told.label())
         .with("attempts", sends)
@@ -325,11 +316,6 @@
     return why == Refusal.LATE ? Refusal.LATE : Refusal.NO_ANSWER;
   }
 
-  /** Tells whether an upstream's own failure can be passed on without promising too much. */
-  private boolean passable(Reply.Answer r) {
-    return tools.wire().signed(r.headers()) && !NOT_RUN_STATUSES.contains(r.status());
-  }
-
   private void finish() {
     done = true;
     stopTimers();
@@ -368,6 +354,10 @@
     tools.placement().report(service, new Report(key, u.id(), end, tookMs, load));
   }
 
+  private RouteFigures figures() {
+    return tools.figures().route(route.name());
+  }
+
   private long now() {
     return tools.clock().getAsLong();
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestTools.java
@@ -4,8 +4,10 @@
 import dev.cactusstack.decisions.placing.WorkTimes;
 import dev.cactusstack.decisions.retries.Patience;
 import dev.cactusstack.decisions.retries.RepeatWindow;
+import dev.cactusstack.decisions.retries.RestBound;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.observe.Figures;
 import dev.cactusstack.gateway.scheduling.Placement;
 import dev.cactusstack.gateway.site.UpstreamWire;
 import io.netty.channel.EventLoop;
@@ -26,9 +28,11 @@
  * @param placement where requests get their places
  * @param parts shares of split routes
  * @param repeats budgets for repeats, by service
+ * @param rests bounds on the rest of kept connections, by service
  * @param workTimes usual answer times, by route
  * @param patience how long callers of each route wait
  * @param repeatBudget the bounds for repeats
+ * @param figures counts what happens
  */
 public record RequestTools(
     String dataCentre,
@@ -40,9 +44,11 @@
     Placement placement,
     WeightedParts parts,
     Map<String, RepeatWindow> repeats,
+    Map<String, RestBound> rests,
     WorkTimes workTimes,
     Patience patience,
-    RepeatBudget repeatBudget) {
+    RepeatBudget repeatBudget,
+    Figures figures) {
 
   /**
    * Creates tools with no history.
@@ -55,6 +61,7 @@
    * @param client connections to upstreams
    * @param placement where requests get their places
    * @param repeatBudget the bounds for repeats
+   * @param figures counts what happens
    */
   public RequestTools(
       String dataCentre,
@@ -64,7 +71,8 @@
       UpstreamWire wire,
       HttpClient client,
       Placement placement,
-      RepeatBudget repeatBudget) {
+      RepeatBudget repeatBudget,
+      Figures figures) {
     this(
         dataCentre,
         loop,
@@ -75,9 +83,11 @@
         placement,
         new WeightedParts(),
         new HashMap<>(),
+        new HashMap<>(),
         new WorkTimes(),
         new Patience(),
-        repeatBudget);
+        repeatBudget,
+        figures);
   }
 
   RepeatWindow repeats(String service) {
@@ -85,6 +95,14 @@
         service, s -> new RepeatWindow(repeatBudget.windowMs, repeatBudget.ratio));
   }
 
+  RestBound rest(String service) {
+    return rests.computeIfAbsent(service, s -> new RestBound());
+  }
+
+  ReplyJudge judge() {
+    return new ReplyJudge(wire);
+  }
+
   boolean mayRepeat(String service) {
     return repeats(service).repeat(repeatBudget.allowance.getAsDouble(), clock.getAsLong());
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -3,23 +3,33 @@
 import dev.cactusstack.decisions.matching.RouteTable;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.ConfigurationChange;
+import dev.cactusstack.gateway.site.KnownConfiguration;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreFailure;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.SiteConfiguration;
 import io.netty.channel.EventLoop;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The configuration in force.
  *
+ * <p>Every host reads it from the store when it starts. Then readers follow the store, and tell
+ * other hosts of each change; a host that hears of a change which it doesn't have asks for it, and
+ * reads the store when nobody answers.
+ *
  * <p>Invariant: what is in force never goes back to an older revision. Confined to the event loop.
  */
 public final class ConfigurationController {
@@ -31,10 +41,13 @@
   private final LongSupplier clock;
   private final EventLog log;
   private final SiteStore store;
+  private final BooleanSupplier reader;
   private Runnable changed = () -> {};
+  private Consumer<KnownConfiguration> news = k -> {};
   private @Nullable SiteConfiguration inForce;
   private RouteTable routes = new RouteTable(List.of());
   private boolean whole;
+  private boolean resting;
   private boolean rereading;
   private boolean failing;
   private long sinceMs;
@@ -48,22 +61,26 @@
    * @param clock a steady clock, in milliseconds
    * @param log where changes are told
    * @param store where operators write
+   * @param reader whether this host follows the store
    */
   public ConfigurationController(
-      EventLoop loop, LongSupplier clock, EventLog log, SiteStore store) {
+      EventLoop loop, LongSupplier clock, EventLog log, SiteStore store, BooleanSupplier reader) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.store = store;
+    this.reader = reader;
   }
 
   /**
    * Begins to follow the operators' configuration.
    *
    * @param listener runs after each change, on the event loop
+   * @param teller receives each change that other hosts may not have heard of
    */
-  public void start(Runnable listener) {
+  public void start(Runnable listener, Consumer<KnownConfiguration> teller) {
     changed = listener;
+    news = teller;
     follow();
   }
 
@@ -112,15 +129,55 @@
     return failing;
   }
 
+  /** Follows the store again, if this host has become a reader. */
+  public void roleMayHaveChanged() {
+    if (resting && reader.getAsBoolean()) {
+      resting = false;
+      // Changes may have been missed since the last look, so everything is read before a watch.
+      whole = false;
+      log.event("configuration_reader").write();
+      follow();
+    }
+  }
+
+  /**
+   * Returns the configuration in force with its newest change, to be told to other hosts.
+   *
+   * @return the configuration, or nothing before one is known
+   */
+  public Optional<KnownConfiguration> known() {
+    return inForce().map(c -> new KnownConfiguration(c, changedAt));
+  }
+
   /**
-   * Takes in that another host knows of a change. When the watch does not tell it soon, because its
-   * connection has gone silent, the configuration is read.
+   * Takes in what another host has in force.
+   *
+   * @param k the configuration
+   */
+  public void told(KnownConfiguration k) {
+    SiteConfiguration c = k.configuration();
+    if (inForce != null && c.version() < inForce.version()) {
+      return;
+    }
+    Map<String, Boolean> evacuations = new HashMap<>();
+    c.evacuated().forEach(dataCentre -> evacuations.put(dataCentre, true));
+    var rules = new ConfigurationChange.Rules(c.version(), c.routes(), c.services(), c.limits());
+    apply(
+        new ConfigurationChange(
+            c.revision(), k.changedAt(), true, Optional.of(rules), evacuations));
+  }
+
+  /**
+   * Takes in that another host knows of a change. When that host does not tell it soon, and no
+   * watch does, the configuration is read.
    *
    * @param revision the store's revision of the change
+   * @param ask asks that host for its configuration, given the revision that this one knows
    */
-  public void heardOf(long revision) {
+  public void heardOf(long revision, LongConsumer ask) {
     if (!rereading && behind(revision)) {
       rereading = true;
+      ask.accept(inForce == null ? 0 : inForce.revision());
       loop.schedule(() -> readIfBehind(revision), WATCH_PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
   }
@@ -147,6 +204,10 @@
   }
 
   private void follow() {
+    if (whole && !reader.getAsBoolean()) {
+      resting = true;
+      return;
+    }
     CompletableFuture<ConfigurationChange> call =
         whole ? store.watchConfiguration(cursor, WATCH_MS) : store.readConfiguration();
     call.whenComplete(
@@ -227,6 +288,7 @@
       return;
     }
     inForce = next;
+    cursor = Math.max(cursor, next.revision());
     boolean newRules = old == null || old.version() != next.version();
     if (newRules) {
       routes = new RouteTable(next.routes());
@@ -239,6 +301,9 @@
           .write();
       changed.run();
     }
+    if (old != null || !change.complete()) {
+      news.accept(new KnownConfiguration(next, changedAt));
+    }
   }
 
   private static @Nullable SiteConfiguration merge(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -2,10 +2,13 @@
 
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.Pulse;
+import dev.cactusstack.decisions.gossip.ReaderChoice;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.site.KnownConfiguration;
 import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostEntry;
 import io.netty.channel.EventLoop;
 import java.util.Collections;
@@ -27,6 +30,9 @@
   private static final int MOST_NEWS = 8;
   private static final long NEWS_MS = 6_000;
   private static final long RETRY_MS = 400;
+  private static final long SETTLE_MS = 1_500;
+  private static final int TOLD_OF_CHANGE = 3;
+  private static final ReaderChoice READERS = new ReaderChoice(6);
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -38,6 +44,8 @@
   private final HostEntry self;
   private final Random random;
   private final BooleanSupplier informed;
+  private long startedMs;
+  private boolean registered;
 
   /**
    * Creates a controller.
@@ -78,8 +86,47 @@
 
   /** Registers this host, and begins to gossip once that is done. */
   public void start() {
-    peers.learn(self, clock.getAsLong());
+    startedMs = clock.getAsLong();
+    peers.learn(self, startedMs);
     register();
+    loop.schedule(configuration::roleMayHaveChanged, SETTLE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Tells whether this host follows the store's configuration. Right after its start it does not:
+   * it has read the configuration, and doesn't know yet who else is there.
+   *
+   * @return true for a reader, and for a host that other hosts can't tell of changes
+   */
+  public boolean reads() {
+    long now = clock.getAsLong();
+    if (now - startedMs < SETTLE_MS) {
+      return false;
+    }
+    return !registered || READERS.reads(self, peers.informed(now));
+  }
+
+  /**
+   * Tells other hosts of a change of the configuration.
+   *
+   * @param known the configuration with the change
+   */
+  public void tellOfChange(KnownConfiguration known) {
+    var message = new LinkMessage.Rules(known);
+    peers.nearTargets(TOLD_OF_CHANGE, clock.getAsLong()).forEach(e -> link.send(message, e.link()));
+  }
+
+  /**
+   * Answers a host that asks for the configuration, if this one has a newer one.
+   *
+   * @param wanted the message
+   * @param from its sender
+   */
+  public void wanted(LinkMessage.RulesWanted wanted, Address from) {
+    configuration
+        .known()
+        .filter(k -> k.configuration().revision() > wanted.after())
+        .ifPresent(k -> link.send(new LinkMessage.Rules(k), from));
   }
 
   private void register() {
@@ -101,6 +148,7 @@
               }
               all.forEach(e -> peers.learn(e, clock.getAsLong()));
               log.event("registered").with("hosts", all.size()).write();
+              registered = true;
               round();
               loop.scheduleAtFixedRate(this::round, ROUND_MS, ROUND_MS, TimeUnit.MILLISECONDS);
             });
@@ -116,8 +164,9 @@
    * Takes in another host's gossip.
    *
    * @param beat the message
+   * @param from its sender
    */
-  public void heard(LinkMessage.Beat beat) {
+  public void heard(LinkMessage.Beat beat, Address from) {
     long now = clock.getAsLong();
     for (HostEntry e : beat.news()) {
       if (peers.learn(e, now)) {
@@ -129,10 +178,12 @@
       }
     }
     peers.heard(beat.pulses(), now);
-    configuration.heardOf(beat.configurationRevision());
+    configuration.heardOf(
+        beat.configurationRevision(), after -> link.send(new LinkMessage.RulesWanted(after), from));
   }
 
   private void round() {
+    configuration.roleMayHaveChanged();
     tell(TOLD_EACH_ROUND);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/Exchange.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/Exchange.java
@@ -15,6 +15,7 @@
   private final Consumer<Reply> end;
   private @Nullable Channel channel;
   private @Nullable Future<?> watch;
+  private long restedMs;
   private boolean sent;
   private boolean ended;
 
@@ -39,6 +40,19 @@
     return sent;
   }
 
+  /**
+   * Tells how long the connection that carries the request had not been used.
+   *
+   * @return milliseconds, 0 for a new connection
+   */
+  public long restedMs() {
+    return restedMs;
+  }
+
+  void rested(long ms) {
+    restedMs = ms;
+  }
+
   Outgoing request() {
     return request;
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -65,6 +65,7 @@
     exchange.watch(loop.schedule(exchange::late, Math.max(1, timeoutMs), TimeUnit.MILLISECONDS));
     ServerConnection kept = takeIdle(request);
     if (kept != null) {
+      exchange.rested(kept.idleFor(clock.getAsLong()));
       kept.run(exchange);
     } else {
       connect(exchange);
--- a/gateway/src/main/java/dev/cactusstack/gateway/observe/EventLog.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/observe/EventLog.java
@@ -26,6 +26,7 @@
   private final AtomicLong dropped = new AtomicLong();
   private final OutputStream out;
   private final StringBuilder batch = new StringBuilder();
+  private volatile long droppedEver;
   private volatile boolean closed;
 
   /**
@@ -61,6 +62,15 @@
     return new EventLine(this, event);
   }
 
+  /**
+   * Counts the lines that were dropped.
+   *
+   * @return the count, as of the last time that lines were written
+   */
+  public long dropped() {
+    return droppedEver;
+  }
+
   /** Offers a finished line. */
   void offer(String line) {
     long time = System.currentTimeMillis();
@@ -74,6 +84,7 @@
     try {
       poller.poll(this::append);
       long lost = dropped.getAndSet(0);
+      droppedEver += lost;
       if (lost > 0) {
         batch
             .append("time=")
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Link.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Link.java
@@ -8,7 +8,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -19,6 +21,8 @@
 
 /** Sends and receives datagrams of other hosts. Confined to the event loop. */
 public final class Link {
+  private static final int MOST_BYTES = 32_768;
+
   private final EventLoop loop;
   private final EventLog log;
   private @Nullable Channel channel;
@@ -47,6 +51,7 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES))
             .handler(new Receiver(receiver))
             .bind(address.ip(), address.port());
     channel = f.channel();
@@ -62,9 +67,17 @@
   public void send(LinkMessage m, Address to) {
     Channel ch = channel;
     if (ch != null && ch.isActive()) {
+      byte[] bytes = LinkCodec.encode(m);
+      if (bytes.length > MOST_BYTES) {
+        log.event("link_too_large")
+            .with("bytes", bytes.length)
+            .with("remedy", "the receiver reads the store instead")
+            .write();
+        return;
+      }
       sent++;
-      var bytes = Unpooled.wrappedBuffer(LinkCodec.encode(m));
-      ch.writeAndFlush(new DatagramPacket(bytes, new InetSocketAddress(to.ip(), to.port())));
+      var receiver = new InetSocketAddress(to.ip(), to.port());
+      ch.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
     }
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -90,6 +90,12 @@
     } else if (m instanceof LinkMessage.Unable u) {
       out.writeUInt32NoTag(Type.UNABLE.ordinal());
       writeKey(out, u.key());
+    } else if (m instanceof LinkMessage.Rules r) {
+      out.writeUInt32NoTag(Type.RULES.ordinal());
+      ConfigurationCodec.write(out, r.known());
+    } else if (m instanceof LinkMessage.RulesWanted w) {
+      out.writeUInt32NoTag(Type.RULES_WANTED.ordinal());
+      out.writeUInt64NoTag(w.after());
     }
   }
 
@@ -130,6 +136,18 @@
       LinkMessage read(CodedInputStream in) throws IOException {
         return new LinkMessage.Unable(readKey(in));
       }
+    },
+    RULES {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.Rules(ConfigurationCodec.read(in));
+      }
+    },
+    RULES_WANTED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return new LinkMessage.RulesWanted(in.readUInt64());
+      }
     };
 
     abstract LinkMessage read(CodedInputStream in) throws IOException;
@@ -143,6 +161,7 @@
       out.writeStringNoTag(e.dataCentre());
       writeAddress(out, e.callers());
       writeAddress(out, e.link());
+      out.writeUInt32NoTag(e.milliCores());
       out.writeUInt64NoTag(e.incarnation());
     }
     out.writeUInt32NoTag(b.pulses().size());
@@ -161,7 +180,12 @@
     for (int n = count(in); n > 0; n--) {
       news.add(
           new HostEntry(
-              in.readString(), in.readString(), readAddress(in), readAddress(in), in.readUInt64()));
+              in.readString(),
+              in.readString(),
+              readAddress(in),
+              readAddress(in),
+              in.readUInt32(),
+              in.readUInt64()));
     }
     List<Pulse> pulses = new ArrayList<>();
     for (int n = count(in); n > 0; n--) {
@@ -181,6 +205,7 @@
     out.writeUInt64NoTag(a.onTimeMs());
     out.writeUInt64NoTag(a.leftMs());
     out.writeUInt32NoTag(a.bodyBytes());
+    out.writeBoolNoTag(a.spare());
     out.writeUInt32NoTag(a.tried().size());
     for (String t : a.tried()) {
       out.writeStringNoTag(t);
@@ -196,11 +221,12 @@
     long onTime = in.readUInt64();
     long left = in.readUInt64();
     int body = in.readUInt32();
+    boolean spare = in.readBool();
     Set<String> tried = new HashSet<>();
     for (int n = count(in); n > 0; n--) {
       tried.add(in.readString());
     }
-    return new Ask(key, dataCentre, route, priority, objective, onTime, left, body, tried);
+    return new Ask(key, dataCentre, route, priority, objective, onTime, left, body, spare, tried);
   }
 
   private static void writeVerdict(CodedOutputStream out, Verdict v) throws IOException {
@@ -302,7 +328,7 @@
     return new Address(in.readString(), in.readUInt32());
   }
 
-  private static int count(CodedInputStream in) throws IOException {
+  static int count(CodedInputStream in) throws IOException {
     int n = in.readUInt32();
     if (n < 0 || n > MAX_ITEMS) {
       throw new IOException("too many items");
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.placing.AskKey;
 import dev.cactusstack.decisions.placing.Report;
 import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.gateway.site.KnownConfiguration;
 import dev.cactusstack.model.site.HostEntry;
 import java.util.List;
 
@@ -26,6 +27,20 @@
     }
   }
 
+  /**
+   * The configuration in force at the sender.
+   *
+   * @param known what it has in force, and since when
+   */
+  record Rules(KnownConfiguration known) implements LinkMessage {}
+
+  /**
+   * Asks for the configuration in force at the receiver, if it is newer.
+   *
+   * @param after the store's revision up to which the sender knows it
+   */
+  record RulesWanted(long after) implements LinkMessage {}
+
   /**
    * A request that wants an upstream.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -6,7 +6,7 @@
 import dev.cactusstack.decisions.placing.AttemptEnd;
 import dev.cactusstack.decisions.placing.Report;
 import dev.cactusstack.decisions.placing.Verdict;
-import dev.cactusstack.decisions.routing.Rendezvous;
+import dev.cactusstack.decisions.routing.SchedulerRanking;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostEntry;
@@ -64,6 +64,7 @@
    * @param peers who is alive
    * @param schedulers this host's own schedulers
    * @param selfName this host's name
+   * @param firstNumber the number before the first ask, another one for each life of the host
    */
   public Placement(
       EventLoop loop,
@@ -72,7 +73,8 @@
       Link link,
       PeerTable peers,
       Schedulers schedulers,
-      String selfName) {
+      String selfName,
+      long firstNumber) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
@@ -80,6 +82,7 @@
     this.peers = peers;
     this.schedulers = schedulers;
     this.self = PeerTable.hash(selfName);
+    this.lastNumber = firstNumber;
     schedulers.onVerdict(this::deliver);
   }
 
@@ -204,10 +207,7 @@
     if (known != null && now - known.sinceMs < RANKING_MS) {
       return known.hosts;
     }
-    Map<String, HostEntry> usable = new HashMap<>();
-    peers.usable(now).forEach(e -> usable.put(e.name(), e));
-    List<HostEntry> ranked =
-        Rendezvous.ranked(service, usable.keySet(), RANKED).stream().map(usable::get).toList();
+    List<HostEntry> ranked = SchedulerRanking.of(service, peers.usable(now), RANKED);
     rankings.put(service, new Ranking(ranked, now));
     return ranked;
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -55,4 +55,18 @@
    * @return the entry with the incarnation that the store gave it
    */
   CompletableFuture<HostEntry> register(HostEntry entry);
+
+  /**
+   * Counts the calls made so far.
+   *
+   * @return the count
+   */
+  long calls();
+
+  /**
+   * Counts the calls that brought no result.
+   *
+   * @return the count
+   */
+  long failedCalls();
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -4,21 +4,32 @@
 
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.ConfigurationChange;
+import dev.cactusstack.gateway.site.KnownConfiguration;
 import dev.cactusstack.gateway.site.StoreFailure;
 import dev.cactusstack.model.site.CallerLimits;
+import dev.cactusstack.model.site.SiteConfiguration;
 import java.io.OutputStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationControllerTest {
   private final VirtualLoop time = new VirtualLoop();
   private final FakeStore store = new FakeStore();
+  private final List<KnownConfiguration> told = new ArrayList<>();
+  private final List<Long> asked = new ArrayList<>();
+  private boolean reader = true;
   private final ConfigurationController controller =
       new ConfigurationController(
-          time.loop(), time::nowMs, new EventLog(OutputStream.nullOutputStream()), store);
+          time.loop(),
+          time::nowMs,
+          new EventLog(OutputStream.nullOutputStream()),
+          store,
+          () -> reader);
 
   private static ConfigurationChange change(
       long revision, boolean complete, long version, Map<String, Boolean> evacuations) {
@@ -36,7 +47,7 @@
 
   @BeforeEach
   void start() {
-    controller.start(() -> {});
+    controller.start(() -> {}, told::add);
   }
 
   @Test
@@ -70,7 +81,7 @@
   @Test
   void shouldNeverGoBackWhenAnOlderAnswerComesLate() {
     store.reads.get(0).complete(change(10, true, 1, Map.of()));
-    controller.heardOf(15);
+    controller.heardOf(15, asked::add);
     time.run(400);
     store.watches.get(0).complete(change(20, false, 5, Map.of()));
     store.reads.get(1).complete(change(16, true, 2, Map.of("dc", true)));
@@ -81,7 +92,7 @@
   @Test
   void shouldReadWhenOthersKnowOfAChangeThatTheWatchDoesNotTell() {
     store.reads.get(0).complete(change(10, true, 1, Map.of()));
-    controller.heardOf(15);
+    controller.heardOf(15, asked::add);
     time.run(100);
     assertThat(store.reads).hasSize(1);
     time.run(300);
@@ -111,4 +122,72 @@
     store.reads.get(1).complete(change(8, true, 1, Map.of("dc", true)));
     assertThat(controller.inForce().orElseThrow().evacuated()).containsExactly("dc");
   }
+
+  private static KnownConfiguration known(long revision, long version, String... evacuated) {
+    var c =
+        new SiteConfiguration(
+            revision, version, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(evacuated));
+    return new KnownConfiguration(c, revision);
+  }
+
+  @Test
+  void shouldNotWatchTheStoreWhenOthersReadIt() {
+    reader = false;
+    store.reads.get(0).complete(change(10, true, 1, Map.of()));
+    assertThat(version()).isEqualTo(1);
+    assertThat(store.watches).isEmpty();
+  }
+
+  @Test
+  void shouldReadAllAndWatchWhenItBecomesAReader() {
+    reader = false;
+    store.reads.get(0).complete(change(10, true, 1, Map.of()));
+    reader = true;
+    controller.roleMayHaveChanged();
+    controller.roleMayHaveChanged();
+    assertThat(store.reads).hasSize(2);
+    store.reads.get(1).complete(change(14, true, 2, Map.of()));
+    assertThat(version()).isEqualTo(2);
+    assertThat(store.watchedAfter).containsExactly(14L);
+  }
+
+  @Test
+  void shouldTakeOverWhatAnotherHostHasInForceWhenItIsNewer() {
+    reader = false;
+    store.reads.get(0).complete(change(10, true, 1, Map.of("a", true)));
+    controller.told(known(12, 2, "b"));
+    assertThat(version()).isEqualTo(2);
+    assertThat(controller.inForce().orElseThrow().evacuated()).containsExactly("b");
+    controller.told(known(11, 1));
+    controller.told(known(13, 1));
+    assertThat(version()).isEqualTo(2);
+    assertThat(controller.inForce().orElseThrow().evacuated()).containsExactly("b");
+  }
+
+  @Test
+  void shouldStartFromAnotherHostWhenTheStoreIsAway() {
+    store.reads.get(0).completeExceptionally(FakeStore.failure(StoreFailure.Kind.NOT_DONE));
+    controller.told(known(12, 2));
+    assertThat(version()).isEqualTo(2);
+  }
+
+  @Test
+  void shouldAskTheHostThatKnowsOfAChangeBeforeTheStore() {
+    reader = false;
+    store.reads.get(0).complete(change(10, true, 1, Map.of()));
+    controller.heardOf(15, asked::add);
+    assertThat(asked).containsExactly(10L);
+    controller.told(known(15, 2));
+    time.run(1_000);
+    assertThat(store.reads).hasSize(1);
+  }
+
+  @Test
+  void shouldTellOthersOfAChangeButNotOfWhatItReadAtItsStart() {
+    store.reads.get(0).complete(change(10, true, 1, Map.of()));
+    assertThat(told).isEmpty();
+    store.watches.get(0).complete(change(12, false, 3, Map.of()));
+    controller.told(known(14, 4));
+    assertThat(told).extracting(KnownConfiguration::changedAt).containsExactly(12L, 14L);
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -59,4 +59,14 @@
   public CompletableFuture<HostEntry> register(HostEntry entry) {
     return new CompletableFuture<>();
   }
+
+  @Override
+  public long calls() {
+    return reads.size() + watches.size() + upstreamReads.size();
+  }
+
+  @Override
+  public long failedCalls() {
+    return 0;
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -10,12 +10,19 @@
 import dev.cactusstack.decisions.placing.LoadFigures;
 import dev.cactusstack.decisions.placing.Report;
 import dev.cactusstack.decisions.placing.Verdict;
+import dev.cactusstack.gateway.site.KnownConfiguration;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.HostEntry;
+import dev.cactusstack.model.site.RequestKind;
+import dev.cactusstack.model.site.RouteRule;
+import dev.cactusstack.model.site.ServiceRule;
+import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.UpstreamEntry;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -29,10 +36,10 @@
       List.of(
           new LinkMessage.Beat(
               77,
-              List.of(new HostEntry("h", "dc", A, A, 3)),
+              List.of(new HostEntry("h", "dc", A, A, 600, 3)),
               List.of(new Pulse(-1, 9, 4, true, false), new Pulse(2, 1, 1, false, true))),
           new LinkMessage.Asked(
-              "s", new Ask(KEY, "dc", "r", 2, 300, 250, 900, 60_000, Set.of("u"))),
+              "s", new Ask(KEY, "dc", "r", 2, 300, 250, 900, 60_000, true, Set.of("u"))),
           new LinkMessage.Decided(
               new Verdict.Placed(KEY, new UpstreamEntry("u", "s", A, "dc", 4, false, 0, 5))),
           new LinkMessage.Decided(new Verdict.TurnedAway(KEY, 40)),
@@ -48,7 +55,28 @@
                       Optional.of(new LoadFigures(1, 2, 4, 700))),
                   new Report(KEY, "u", AttemptEnd.UNUSED, 0, Optional.empty()))),
           new LinkMessage.Withdrawn("s", KEY),
-          new LinkMessage.Unable(KEY));
+          new LinkMessage.Unable(KEY),
+          new LinkMessage.RulesWanted(77),
+          new LinkMessage.Rules(
+              new KnownConfiguration(
+                  new SiteConfiguration(
+                      80,
+                      7,
+                      List.of(
+                          new RouteRule(
+                              "r",
+                              "h.example",
+                              "/a/",
+                              RequestKind.UPLOAD,
+                              800,
+                              300,
+                              1,
+                              2,
+                              List.of(new RouteRule.Part("s", 3.5)))),
+                      Map.of("s", new ServiceRule("s", "/health", 260, 3_000, 6.6)),
+                      CallerLimits.DEFAULT,
+                      Set.of("dc")),
+                  79)));
 
   @Test
   void shouldGiveTheSameMessageWhenItIsEncodedAndDecoded() throws IOException {
