--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -77,13 +77,18 @@
   }
 
   /**
-   * Decides about a request.
+   * Decides about a request. An ask that was decided already, and comes again because its answer
+   * got lost, gets the same answer.
    *
    * @param ask the request
    * @param nowMs the present time on the same clock
    * @return a place, a wait, or a refusal; a refusal of another request that waited may come along
    */
   public List<Verdict> ask(Ask ask, long nowMs) {
+    Optional<Verdict> known = decided(ask.key());
+    if (known.isPresent()) {
+      return List.of(known.get());
+    }
     askRate = askRate(nowMs) + 1 / ASK_RATE_MEMORY_MS;
     askRateAtMs = nowMs;
     if (ask.spare()) {
@@ -107,6 +112,17 @@
     return List.of(new Verdict.Waits(ask.key()));
   }
 
+  private Optional<Verdict> decided(AskKey key) {
+    Held h = held.get(key);
+    UpstreamLoad load = h == null ? null : loads.get(h.upstream());
+    if (load != null) {
+      return Optional.of(new Verdict.Placed(key, load.entry()));
+    }
+    return line.count(w -> w.ask().key().equals(key)) > 0
+        ? Optional.of(new Verdict.Waits(key))
+        : Optional.empty();
+  }
+
   /**
    * Places a second attempt if a slot is left over. Under high load it would take the slot of a
    * request that has none.
@@ -289,20 +305,7 @@
    */
   public String describe(String upstream, long nowMs) {
     UpstreamLoad l = loads.get(upstream);
-    if (l == null) {
-      return "unknown";
-    }
-    return l.occupied(nowMs)
-        + "/"
-        + l.entry().slots()
-        + ",pace="
-        + Math.round(l.expectedPace(meanPace, nowMs) * LoadFigures.USUAL_PACE)
-        + ",age_ms="
-        + l.paceAgeMs(nowMs)
-        + ",faults="
-        + Math.round(l.faults() * LoadFigures.USUAL_PACE)
-        + ",waiting="
-        + line.size();
+    return l == null ? "unknown" : l.describe(meanPace, nowMs) + ",waiting=" + line.size();
   }
 
   private List<Verdict> fill(long nowMs) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -178,6 +178,19 @@
     return worst >= OVERDUE_RATIO ? worst : 0;
   }
 
+  /** Says for a log line what is known. */
+  String describe(double meanPace, long nowMs) {
+    return occupied(nowMs)
+        + "/"
+        + entry.slots()
+        + ",pace="
+        + Math.round(expectedPace(meanPace, nowMs) * LoadFigures.USUAL_PACE)
+        + ",age_ms="
+        + paceAgeMs(nowMs)
+        + ",faults="
+        + Math.round(faults * LoadFigures.USUAL_PACE);
+  }
+
   /** Frees slots whose report is not going to come. */
   void dropHoldsBefore(long sinceMs) {
     holds.values().removeIf(h -> h.sinceMs < sinceMs);
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -225,6 +225,22 @@
     return one(new Ask(key, "dc", "r", 1, 300, 300, 1_000, 0, true, Set.of(tried)), nowMs);
   }
 
+  @Test
+  void shouldAnswerAlikeWhenAnAskComesAgain() {
+    scheduler.upstreams(RULE, List.of(upstream("a", 1, 0), upstream("b", 1, 0)), 0);
+    Ask first = ask(300);
+    Ask second = ask(300);
+    Ask third = ask(300);
+    Verdict place = one(first, 0);
+    one(second, 0);
+    assertThat(one(third, 0)).isInstanceOf(Verdict.Waits.class);
+    assertThat(one(first, 30)).isEqualTo(place);
+    assertThat(scheduler.ask(third, 30)).containsExactly(new Verdict.Waits(third.key()));
+    assertThat(scheduler.report(end(place, AttemptEnd.ANSWERED, 100), 90))
+        .extracting(Verdict::key)
+        .containsExactly(third.key());
+  }
+
   @Test
   void shouldPlaceASecondAttemptWhenASlotIsLeftOver() {
     scheduler.upstreams(RULE, List.of(upstream("a", 2, 0), upstream("b", 2, 0)), 0);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -27,12 +27,14 @@
 /**
  * Gets a place for each request from the host that schedules its service.
  *
- * <p>Hosts that agree on who is alive agree on the scheduling host. One that does not answer is
- * passed over for a while: the request goes to the next in rank, and then to this host's own
- * scheduler. Confined to the event loop.
+ * <p>Hosts that agree on who is alive agree on the scheduling host. An ask without an answer is sent
+ * once more, because datagrams get lost, and because two hosts that schedule the same service know
+ * less than one. A host that still does not answer is passed over for a while: the request goes to
+ * the next in rank, and then to this host's own scheduler. Confined to the event loop.
  */
 public final class Placement {
-  private static final long ANSWER_TIMEOUT_MS = 60;
+  private static final long RESEND_MS = 35;
+  private static final long ANSWER_TIMEOUT_MS = 50;
   private static final long SUSPECT_MS = 1_000;
   private static final int REMOTE_TRIES = 2;
   private static final int REPEATED_REPORTS = 2;
@@ -186,8 +188,13 @@
       return;
     }
     p.asked = owner.get();
-    p.startTimer(loop.schedule(() -> silent(p), ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS));
-    link.send(new LinkMessage.Asked(p.service, p.ask), owner.get());
+    p.resent = false;
+    send(p, owner.get(), RESEND_MS);
+  }
+
+  private void send(Pending p, Address owner, long patienceMs) {
+    p.startTimer(loop.schedule(() -> silent(p), patienceMs, TimeUnit.MILLISECONDS));
+    link.send(new LinkMessage.Asked(p.service, p.ask), owner);
   }
 
   /** The host to ask, or nothing when it is this one. */
@@ -217,6 +224,11 @@
     if (pending.get(p.ask.key().number()) != p || asked == null) {
       return;
     }
+    if (!p.waits && !p.resent) {
+      p.resent = true;
+      send(p, asked, ANSWER_TIMEOUT_MS);
+      return;
+    }
     link.send(new LinkMessage.Withdrawn(p.service, p.ask.key()), asked);
     passOver(p, asked, "silent");
   }
@@ -297,6 +309,7 @@
     private final Ask ask;
     private final Consumer<Verdict> end;
     private int tries;
+    private boolean resent;
     private boolean waits;
     private @Nullable Address asked;
     private @Nullable Future<?> timer;
