--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.LongToDoubleFunction;
 
 /**
  * Plays a load pattern in virtual time, once with the scheduler and once with an earlier decision,
@@ -50,6 +51,26 @@
     }
   }
 
+  /** How much longer than usual work takes on an upstream at a moment. */
+  interface Pace {
+    double of(int upstream, long nowMs);
+  }
+
+  /** A pattern in which all upstreams are there and none is cold. */
+  static Pattern pattern(LongToDoubleFunction rate, Pace pace) {
+    return new Pattern() {
+      @Override
+      public double rate(long nowMs) {
+        return rate.applyAsDouble(nowMs);
+      }
+
+      @Override
+      public double pace(int upstream, long nowMs) {
+        return pace.of(upstream, nowMs);
+      }
+    };
+  }
+
   /** Decides as the hosts did before: any free slot in turn, the oldest waits first. */
   private static final class InTurn {
     private int next;
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
@@ -12,17 +12,7 @@
   private static final long SEED = 5;
 
   private static Replay.Pattern pattern(double rate) {
-    return new Replay.Pattern() {
-      @Override
-      public double rate(long nowMs) {
-        return rate;
-      }
-
-      @Override
-      public double pace(int upstream, long nowMs) {
-        return 1;
-      }
-    };
+    return Replay.pattern(nowMs -> rate, (upstream, nowMs) -> 1);
   }
 
   private static Replay replay(Replay.Pattern p) {
@@ -35,19 +25,7 @@
 
   @Test
   void shouldServeMoreOnTimeWhenMoreRequestsComeThanCanBeServed() {
-    Replay r =
-        replay(
-            new Replay.Pattern() {
-              @Override
-              public double rate(long nowMs) {
-                return during(nowMs) ? 400 : 150;
-              }
-
-              @Override
-              public double pace(int upstream, long nowMs) {
-                return 1;
-              }
-            });
+    Replay r = replay(Replay.pattern(nowMs -> during(nowMs) ? 400 : 150, (upstream, nowMs) -> 1));
     Replay.Outcome before = r.inTurn();
     Replay.Outcome after = r.scheduled(true);
     assertThat(after.onTime()).isGreaterThan((int) (before.onTime() * 1.2));
@@ -82,17 +60,8 @@
   void shouldServeMoreOnTimeWhenNeighboursStealCapacityForHalfSeconds() {
     Replay r =
         replay(
-            new Replay.Pattern() {
-              @Override
-              public double rate(long nowMs) {
-                return 100;
-              }
-
-              @Override
-              public double pace(int upstream, long nowMs) {
-                return Replay.noise(SEED, upstream, nowMs, 0.25, 7);
-              }
-            });
+            Replay.pattern(
+                nowMs -> 100, (upstream, nowMs) -> Replay.noise(SEED, upstream, nowMs, 0.25, 7)));
     Replay.Outcome before = r.inTurn();
     Replay.Outcome unprobed = r.scheduled(false);
     Replay.Outcome probed = r.scheduled(true);
@@ -104,17 +73,9 @@
   void shouldServeMoreOnTimeWhenAThirdOfTheUpstreamsIsFiveTimesSlower() {
     Replay r =
         replay(
-            new Replay.Pattern() {
-              @Override
-              public double rate(long nowMs) {
-                return 120;
-              }
-
-              @Override
-              public double pace(int upstream, long nowMs) {
-                return during(nowMs) && upstream < UPSTREAMS / 3 ? 5 : 1;
-              }
-            });
+            Replay.pattern(
+                nowMs -> 120,
+                (upstream, nowMs) -> during(nowMs) && upstream < UPSTREAMS / 3 ? 5 : 1));
     assertThat(r.scheduled(true).missed()).isLessThan(r.inTurn().missed() / 2);
   }
 
@@ -122,17 +83,8 @@
   void shouldServeMoreOnTimeWhenSomeUpstreamsHang() {
     Replay r =
         replay(
-            new Replay.Pattern() {
-              @Override
-              public double rate(long nowMs) {
-                return 100;
-              }
-
-              @Override
-              public double pace(int upstream, long nowMs) {
-                return during(nowMs) && upstream < 2 ? 0 : 1;
-              }
-            });
+            Replay.pattern(
+                nowMs -> 100, (upstream, nowMs) -> during(nowMs) && upstream < 2 ? 0 : 1));
     assertThat(r.scheduled(true).missed()).isLessThan(r.inTurn().missed() / 2);
   }
 
@@ -181,17 +133,8 @@
   void shouldServeMoreOnTimeWhenSecondAttemptsTakeOnlyWhatIsLeftOver() {
     Replay r =
         replay(
-            new Replay.Pattern() {
-              @Override
-              public double rate(long nowMs) {
-                return 200;
-              }
-
-              @Override
-              public double pace(int upstream, long nowMs) {
-                return Replay.noise(SEED, upstream, nowMs, 0.35, 7);
-              }
-            });
+            Replay.pattern(
+                nowMs -> 200, (upstream, nowMs) -> Replay.noise(SEED, upstream, nowMs, 0.35, 7)));
     Replay.Outcome before = r.scheduled(true, Replay.Second.LIKE_FIRST);
     Replay.Outcome after = r.scheduled(true, Replay.Second.SPARE);
     assertThat(after.onTime()).isGreaterThan(before.onTime());
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Placement.java
@@ -27,10 +27,10 @@
 /**
  * Gets a place for each request from the host that schedules its service.
  *
- * <p>Hosts that agree on who is alive agree on the scheduling host. An ask without an answer is sent
- * once more, because datagrams get lost, and because two hosts that schedule the same service know
- * less than one. A host that still does not answer is passed over for a while: the request goes to
- * the next in rank, and then to this host's own scheduler. Confined to the event loop.
+ * <p>Hosts that agree on who is alive agree on the scheduling host. An ask without an answer is
+ * sent once more, because datagrams get lost, and because two hosts that schedule the same service
+ * know less than one. A host that still does not answer is passed over for a while: the request
+ * goes to the next in rank, and then to this host's own scheduler. Confined to the event loop.
  */
 public final class Placement {
   private static final long RESEND_MS = 35;
