--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/StoreAwayPlacingTest.java
@@ -0,0 +1,75 @@
+package dev.cactusstack.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.placing.Ask;
+import dev.cactusstack.decisions.placing.AskKey;
+import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.gateway.net.ClientLimits;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.scheduling.Placement;
+import dev.cactusstack.gateway.scheduling.Prober;
+import dev.cactusstack.gateway.scheduling.Schedulers;
+import dev.cactusstack.gateway.site.StoreFailure;
+import dev.cactusstack.gateway.site.UpstreamWire;
+import dev.cactusstack.model.Address;
+import java.io.ByteArrayOutputStream;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** What a host decides for others while it has not read the upstreams and the store is away. */
+class StoreAwayPlacingTest {
+  private static final Address OTHER = new Address("127.0.0.1", 9);
+
+  private final VirtualLoop time = new VirtualLoop();
+  private final FakeStore store = new FakeStore();
+  private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+  private final EventLog log = new EventLog(lines);
+  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
+  private final UpstreamsController upstreams =
+      new UpstreamsController(time.loop(), time::nowMs, log, store, Optional::empty);
+  private final Schedulers schedulers =
+      new Schedulers(
+          time.loop(),
+          time::nowMs,
+          log,
+          new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
+          upstreams,
+          new Prober(
+              new HttpClient(time.loop(), new ClientLimits(100, 100, false, 1_000), time::nowMs),
+              noWire()),
+          () -> peers.othersInformed(time.nowMs()));
+  private final Placement placement =
+      new Placement(
+          time.loop(), time::nowMs, log, new Link(time.loop(), log), peers, schedulers, "self", 0);
+
+  private static UpstreamWire noWire() {
+    return (UpstreamWire)
+        Proxy.newProxyInstance(
+            UpstreamWire.class.getClassLoader(),
+            new Class<?>[] {UpstreamWire.class},
+            (proxy, method, args) -> {
+              throw new AssertionError("nothing is sent here");
+            });
+  }
+
+  @Test
+  @Tag("known-red")
+  void shouldNotTurnAskersAwayWhenItHasNeverReadTheUpstreams() {
+    var ask = new Ask(new AskKey(7, 1), "dc", "r", 1, 300, 300, 1_000, 0, false, Set.of());
+    placement.received(new LinkMessage.Asked("s", ask), OTHER);
+    store.upstreamReads.get(0).completeExceptionally(FakeStore.failure(StoreFailure.Kind.UNKNOWN));
+    time.run(200);
+    log.flush();
+    assertThat(lines.toString(StandardCharsets.UTF_8)).doesNotContain("outcome=turned-away");
+  }
+}
