Registrations: what left while only this host missed the store is gone, and old announcements never win

An announcement that arrived late, with a lower sequence number, could also put an upstream that leaves into use again.

StoreOutageDetector (pure) compares the store's revision with its usual rate: if others wrote meanwhile, what is missing is gone. A leaving upstream never counts as lapsed.

--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -266,7 +266,15 @@
         var address = new Address("127.0.0.1", 1_000 + u);
         out.add(
             new UpstreamRegistration(
-                "u" + u, "s", address, "dc", slots, false, pattern.warmupRemainingMs(u, now), 1));
+                "u" + u,
+                "s",
+                address,
+                "dc",
+                slots,
+                false,
+                pattern.warmupRemainingMs(u, now),
+                1,
+                0));
       }
     }
     return out;
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -22,7 +22,7 @@
 
   private static UpstreamRegistration upstream(String id, int slots, long coldForMs) {
     return new UpstreamRegistration(
-        id, "s", new Address("127.0.0.1", 80), "dc", slots, false, coldForMs, 1);
+        id, "s", new Address("127.0.0.1", 80), "dc", slots, false, coldForMs, 1, 0);
   }
 
   private PlacementRequest request(long onTimeMs, String... tried) {
@@ -225,7 +225,8 @@
   @Test
   void shouldPreferTheRequestingHostsDataCentreWhenTheBodyIsLarge() {
     UpstreamRegistration far =
-        new UpstreamRegistration("far", "s", new Address("127.0.0.1", 80), "dc2", 4, false, 0, 1);
+        new UpstreamRegistration(
+            "far", "s", new Address("127.0.0.1", 80), "dc2", 4, false, 0, 1, 0);
     scheduler.updateUpstreams(RULE, List.of(upstream("near", 4, 0), far), 0);
     var upload =
         new PlacementRequest(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -1,5 +1,9 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.registrations.RegistrationState;
+import dev.cactusstack.decisions.registrations.StoreOutageDetector;
+import dev.cactusstack.decisions.registrations.UpstreamRegistry;
+import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
@@ -9,10 +13,10 @@
 import dev.cactusstack.model.site.UpstreamRegistration;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -22,7 +26,7 @@
  * Tracks the upstreams that are registered in the store.
  *
  * <p>Registrations are polled at short intervals, but only while this host places requests. A
- * registration that is missing right after a store outage is kept for a short time, because
+ * registration that is missing after an outage of the store is kept for a short time, because
  * registrations expire during an outage and upstreams then register again. Confined to the event
  * loop.
  */
@@ -32,16 +36,17 @@
   private static final long STALE_AFTER_MS = 1_300;
   private static final long POLL_AFTER_USE_MS = 4_000;
   private static final long MAX_READ_WAIT_MS = 150;
-  private static final long LAPSED_RETENTION_MS = 2_200;
+  private static final long RENEWAL_TIME_MS = 2_200;
   private static final long NEVER = Long.MIN_VALUE / 2;
-  private static final long RECENT_OUTAGE_MS = 3_000;
+  private static final long FAILURE_LOG_INTERVAL_MS = 3_000;
 
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
   private final SiteStore store;
   private final Supplier<Optional<SiteConfiguration>> configuration;
-  private final Map<String, KnownUpstream> upstreams = new HashMap<>();
+  private final UpstreamRegistry registry = new UpstreamRegistry();
+  private final StoreOutageDetector outageDetector = new StoreOutageDetector(RENEWAL_TIME_MS);
   private final List<Runnable> waitingTasks = new ArrayList<>();
   private Runnable changeListener = () -> {};
   private long revision = -1;
@@ -141,16 +146,9 @@
    * @return their registrations with the remaining warmup from now
    */
   public List<UpstreamRegistration> usableUpstreams(String service) {
-    long now = clock.getAsLong();
-    List<UpstreamRegistration> usable = new ArrayList<>();
-    for (KnownUpstream knownUpstream : upstreams.values()) {
-      UpstreamRegistration upstream = knownUpstream.registration;
-      if (upstream.service().equals(service)
-          && !upstream.leaving()
-          && !isEvacuated(upstream.dataCentre())) {
-        usable.add(withWarmupRemaining(upstream, Math.max(0, knownUpstream.warmupEndsAtMs - now)));
-      }
-    }
+    List<UpstreamRegistration> usable =
+        new ArrayList<>(registry.usable(service, clock.getAsLong()));
+    usable.removeIf(upstream -> isEvacuated(upstream.dataCentre()));
     return usable;
   }
 
@@ -171,19 +169,6 @@
     return configuration.get().map(c -> c.evacuated().contains(dataCentre)).orElse(false);
   }
 
-  private static UpstreamRegistration withWarmupRemaining(
-      UpstreamRegistration upstream, long remainingMs) {
-    return new UpstreamRegistration(
-        upstream.id(),
-        upstream.service(),
-        upstream.address(),
-        upstream.dataCentre(),
-        upstream.slots(),
-        upstream.leaving(),
-        remainingMs,
-        upstream.startedAtMs());
-  }
-
   private void schedulePoll() {
     if (!pollScheduled) {
       pollScheduled = true;
@@ -226,7 +211,8 @@
       return;
     }
     long now = clock.getAsLong();
-    if (now - lastFailureAtMs > RECENT_OUTAGE_MS) {
+    outageDetector.recordFailure();
+    if (now - lastFailureAtMs > FAILURE_LOG_INTERVAL_MS) {
       log.event("upstreams_unread")
           .with("cause", String.valueOf(failure.getMessage()))
           .with("age_ms", now - lastReadAtMs)
@@ -248,74 +234,48 @@
     long now = clock.getAsLong();
     revision = change.revision();
     lastReadAtMs = now;
+    outageDetector.recordRead(revision, now);
+    Set<String> missing =
+        change.fullSnapshot() ? new HashSet<>(registry.registeredIds()) : new HashSet<>();
+    missing.removeAll(change.registrations().keySet());
     change
         .registrations()
         .forEach(
-            (id, announced) ->
-                announced.ifPresentOrElse(
-                    present -> onAnnounced(present, now), () -> onMissing(id, now)));
-    if (change.fullSnapshot()) {
-      for (String id : List.copyOf(upstreams.keySet())) {
-        if (!change.registrations().containsKey(id)) {
-          onMissing(id, now);
-        }
-      }
-    }
-    upstreams.values().removeIf(knownUpstream -> knownUpstream.isExpired(now));
+            (id, announced) -> {
+              if (announced.isPresent()) {
+                onAnnounced(announced.get(), now);
+              } else {
+                missing.add(id);
+              }
+            });
+    missing.forEach(id -> onMissing(id, now));
+    registry.forgetEnded(now);
     changeListener.run();
   }
 
   private void onAnnounced(UpstreamRegistration upstream, long now) {
-    KnownUpstream previous = upstreams.get(upstream.id());
-    if (previous != null && upstream.startedAtMs() < previous.registration.startedAtMs()) {
-      return;
-    }
-    boolean significant =
-        previous == null
-            || !upstream.isSameIncarnation(previous.registration)
-            || upstream.leaving() != previous.registration.leaving()
-            || !upstream.address().equals(previous.registration.address());
-    if (significant) {
-      log.event("upstream")
-          .with("id", upstream.id())
-          .with("service", upstream.service())
-          .with("address", upstream.address().toString())
-          .with("data_centre", upstream.dataCentre())
-          .with("state", upstream.leaving() ? "leaving" : "serving")
-          .with("cold_ms", upstream.warmupRemainingMs())
-          .with("revision", revision)
-          .write();
-    }
-    upstreams.put(upstream.id(), new KnownUpstream(upstream, now + upstream.warmupRemainingMs()));
+    registry
+        .announce(upstream, now)
+        .ifPresent(
+            state ->
+                upstreamEvent(upstream.id(), state)
+                    .with("service", upstream.service())
+                    .with("address", upstream.address().toString())
+                    .with("data_centre", upstream.dataCentre())
+                    .with("cold_ms", upstream.warmupRemainingMs())
+                    .write());
   }
 
   private void onMissing(String id, long now) {
-    KnownUpstream knownUpstream = upstreams.get(id);
-    if (knownUpstream == null || knownUpstream.removeAtMs != Long.MAX_VALUE) {
-      return;
-    }
-    boolean duringOutage = now - lastFailureAtMs < RECENT_OUTAGE_MS;
-    knownUpstream.removeAtMs = duringOutage ? now + LAPSED_RETENTION_MS : now;
-    log.event("upstream")
-        .with("id", id)
-        .with("service", knownUpstream.registration.service())
-        .with("state", duringOutage ? "lapsed" : "gone")
-        .with("revision", revision)
-        .write();
+    registry
+        .remove(id, outageDetector.renewedAtMs(), now)
+        .ifPresent(state -> upstreamEvent(id, state).write());
   }
 
-  private static final class KnownUpstream {
-    private final UpstreamRegistration registration;
-    private final long warmupEndsAtMs;
-    private long removeAtMs = Long.MAX_VALUE;
-
-    KnownUpstream(UpstreamRegistration registration, long warmupEndsAtMs) {
-      this.registration = registration;
-      this.warmupEndsAtMs = warmupEndsAtMs;
-    }
-
-    boolean isExpired(long nowMs) {
-      return nowMs >= removeAtMs;
-    }
+  private EventLine upstreamEvent(String id, RegistrationState state) {
+    return log.event("upstream")
+        .with("id", id)
+        .with("state", state.label())
+        .with("revision", revision);
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -289,7 +289,8 @@
         in.readUInt32(),
         false,
         0,
-        in.readUInt64());
+        in.readUInt64(),
+        0);
   }
 
   private static void writeAttempts(CodedOutputStream out, LinkMessage.AttemptsEnded ended)
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -36,7 +36,7 @@
   private static UpstreamRegistration upstream(
       String id, boolean leaving, long warmupMs, long startedAtMs) {
     return new UpstreamRegistration(
-        id, "s", new Address("127.0.0.1", 80), "dc", 4, leaving, warmupMs, startedAtMs);
+        id, "s", new Address("127.0.0.1", 80), "dc", 4, leaving, warmupMs, startedAtMs, 0);
   }
 
   private static UpstreamChange change(
@@ -114,25 +114,51 @@
     assertThat(usableIds()).isEmpty();
   }
 
+  /** Reads with the revision increasing as it does while upstreams renew their registrations. */
+  private int readWhileUpstreamsRenew(UpstreamRegistration first) {
+    runTask();
+    completeRead(0, change(100, true, first));
+    for (int call = 1; call <= 3; call++) {
+      time.run(710);
+      completeRead(call, change(100 + 70L * call, false));
+    }
+    return 4;
+  }
+
+  private void failReads(int firstCall, int count) {
+    for (int call = firstCall; call < firstCall + count; call++) {
+      runTask();
+      time.run(710);
+      store
+          .upstreamReads
+          .get(call)
+          .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    }
+  }
+
   @Test
   void shouldRetainAnUpstreamBrieflyWhenItsRegistrationExpiredDuringAnOutage() {
+    int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
+    failReads(call, 6);
     runTask();
-    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
     time.run(710);
-    store
-        .upstreamReads
-        .get(1)
-        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
-    time.run(710);
-    completeRead(2, removal(11, "a"));
+    completeRead(call + 6, removal(320, "a"));
     assertThat(usableIds()).containsExactly("a");
+    time.run(2_300);
+    assertThat(usableIds()).isEmpty();
+  }
+
+  /**
+   * Guards against requests to an upstream that left while only this host could not reach the
+   * store: other writers continued to advance the revision.
+   */
+  @Test
+  void shouldRemoveAnUpstreamImmediatelyWhenTheStoreWasAvailableToOthers() {
+    int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
+    failReads(call, 6);
     runTask();
     time.run(710);
-    for (int i = 3; i < 7; i++) {
-      completeRead(i, change(11, false));
-      runTask();
-      time.run(710);
-    }
+    completeRead(call + 6, removal(310 + 70 * 7, "a"));
     assertThat(usableIds()).isEmpty();
   }
 
--- a/model/src/main/java/dev/cactusstack/model/site/UpstreamRegistration.java
+++ b/model/src/main/java/dev/cactusstack/model/site/UpstreamRegistration.java
@@ -14,6 +14,7 @@
  * @param leaving whether it is draining before it leaves
  * @param warmupRemainingMs remaining warm-up time at its last announcement, in milliseconds
  * @param startedAtMs start time of this incarnation, in milliseconds since the epoch; 0 if unknown
+ * @param announcement number of this announcement, increasing within the incarnation; 0 if unknown
  */
 public record UpstreamRegistration(
     String id,
@@ -23,7 +24,8 @@
     int slots,
     boolean leaving,
     long warmupRemainingMs,
-    long startedAtMs) {
+    long startedAtMs,
+    long announcement) {
   /** Checks the components. */
   public UpstreamRegistration {
     Objects.requireNonNull(id, "id is null");
@@ -41,6 +43,17 @@
     return id + '@' + address;
   }
 
+  /**
+   * Returns this registration with another remaining warmup.
+   *
+   * @param remainingMs the remaining warmup, in milliseconds
+   * @return the registration
+   */
+  public UpstreamRegistration withWarmupRemaining(long remainingMs) {
+    return new UpstreamRegistration(
+        id, service, address, dataCentre, slots, leaving, remainingMs, startedAtMs, announcement);
+  }
+
   /**
    * Checks whether another registration describes the same incarnation of this upstream.
    *
