Upstream faults: bounded bytes from a server; placements carry the age of their registrations

Cause: (a) blank lines, informational responses and skipped late responses without end were read until the deadline, and bodies of 16 MB each on many connections could exceed the heap of 64 MB; (b) a host that was frozen during a read took the response for fresh, and a suspended host did not notice the lost time, so both placed by old registrations; (c) a scheduler that was cut off from most hosts believed that no host reached the store.

Change: ServerConnection limits what a server sends in an exchange, HttpClient what all connections buffer together; the age of registrations counts from the request of the read and includes suspended time (SuspensionDetector); decisions carry that age, and the host that sends rejects one that is too old (RegistrationAge) while any host reaches the store.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -244,7 +244,7 @@
    */
   public List<HostRegistration> eligibleSchedulers(long nowMs) {
     List<HostRegistration> usable = usableHosts(nowMs);
-    if (ownState.reachesStore() || anotherHostReachesStore(nowMs)) {
+    if (anyHostReachesStore(nowMs)) {
       return usable;
     }
     List<HostRegistration> withUpstreams = usable.stream().filter(this::knowsUpstreams).toList();
@@ -269,6 +269,16 @@
     return peers.values().stream().anyMatch(p -> reachingStore(p, nowMs));
   }
 
+  /**
+   * Checks whether any host reaches the store.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return true if this host or another usable host does
+   */
+  public boolean anyHostReachesStore(long nowMs) {
+    return ownState.reachesStore() || anotherHostReachesStore(nowMs);
+  }
+
   /**
    * Returns the other usable hosts that have announced that they reach the store.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -49,7 +49,8 @@
   private static final long MAX_INITIAL_SEQUENCE_NUMBER = 1L << 40;
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long MAX_IDLE_CONNECTION_MS = 8_000;
-  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+  private static final int MAX_BUFFERED_BYTES = 12 << 20;
   private static final double CROSS_DATA_CENTRE_ROUND_TRIP_MS = 12;
   private static final double CROSS_DATA_CENTRE_MS_PER_KB = 1;
   private static final double CONNECT_COST_MS = 12;
@@ -81,6 +82,7 @@
    * @param settings the settings of the host
    * @param loop the event loop that all methods run on
    * @param clock a monotonic clock, in milliseconds
+   * @param timeOfDay the time of day, in milliseconds
    * @param log logs events
    * @param random source of randomness for gossip, the directory and sequence numbers
    * @param store the store of the site
@@ -91,6 +93,7 @@
       GatewaySettings settings,
       EventLoop loop,
       LongSupplier clock,
+      LongSupplier timeOfDay,
       EventLog log,
       Random random,
       SiteStore store,
@@ -104,7 +107,8 @@
     this.configuration =
         new ConfigurationController(loop, clock, log, store, this::readsConfiguration);
     this.upstreams =
-        new UpstreamsController(loop, clock, log, store, configuration::activeConfiguration);
+        new UpstreamsController(
+            loop, clock, timeOfDay, log, store, configuration::activeConfiguration);
     this.peers = new PeerTable(settings.host(), PEER_TIMEOUT_MS, random);
     this.link = new Link(loop, log);
     var self =
@@ -142,7 +146,11 @@
         new HttpClient(
             loop,
             new HttpClientSettings(
-                CONNECT_TIMEOUT_MS, MAX_IDLE_CONNECTION_MS, false, MAX_RESPONSE_BYTES),
+                CONNECT_TIMEOUT_MS,
+                MAX_IDLE_CONNECTION_MS,
+                false,
+                MAX_RESPONSE_BYTES,
+                MAX_BUFFERED_BYTES),
             clock);
     var prober = new UpstreamProber(client, upstreamHeaders);
     var schedulers =
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -2,6 +2,7 @@
 
 import dev.cactusstack.decisions.registrations.RegistrationState;
 import dev.cactusstack.decisions.registrations.StoreOutageDetector;
+import dev.cactusstack.decisions.registrations.SuspensionDetector;
 import dev.cactusstack.decisions.registrations.UpstreamRegistry;
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -33,7 +34,6 @@
 public final class UpstreamsController {
   private static final long POLL_INTERVAL_MS = 700;
   private static final long FRESHNESS_MS = 1_000;
-  private static final long STALE_AFTER_MS = 1_300;
   private static final long POLL_AFTER_USE_MS = 4_000;
   private static final long MAX_READ_WAIT_MS = 150;
   private static final long RENEWAL_TIME_MS = 2_200;
@@ -42,17 +42,20 @@
 
   private final EventLoop loop;
   private final LongSupplier clock;
+  private final LongSupplier timeOfDay;
   private final EventLog log;
   private final SiteStore store;
   private final Supplier<Optional<SiteConfiguration>> configuration;
   private final UpstreamRegistry registry = new UpstreamRegistry();
   private final StoreOutageDetector outageDetector = new StoreOutageDetector(RENEWAL_TIME_MS);
   private final List<Runnable> waitingTasks = new ArrayList<>();
+  private final SuspensionDetector suspensionDetector;
   private Runnable changeListener = () -> {};
   private long revision = -1;
   private long lastReadAtMs = NEVER;
-  private long lastUsedAtMs = Long.MIN_VALUE / 2;
-  private long lastFailureAtMs = Long.MIN_VALUE / 2;
+  private long lastUsedAtMs = NEVER;
+  private long lastFailureAtMs = NEVER;
+  private long readRequestedAtMs = NEVER;
   private boolean readInProgress;
   private boolean pollScheduled;
 
@@ -61,6 +64,8 @@
    *
    * @param loop the event loop that all methods run on
    * @param clock a monotonic clock, in milliseconds
+   * @param timeOfDay the time of day, in milliseconds, which also counts while the machine is
+   *     suspended
    * @param log logs changes of upstreams
    * @param store the store that upstreams register in
    * @param configuration supplies the configuration in force
@@ -68,11 +73,14 @@
   public UpstreamsController(
       EventLoop loop,
       LongSupplier clock,
+      LongSupplier timeOfDay,
       EventLog log,
       SiteStore store,
       Supplier<Optional<SiteConfiguration>> configuration) {
     this.loop = loop;
     this.clock = clock;
+    this.timeOfDay = timeOfDay;
+    this.suspensionDetector = new SuspensionDetector(clock.getAsLong(), timeOfDay.getAsLong());
     this.log = log;
     this.store = store;
     this.configuration = configuration;
@@ -98,6 +106,7 @@
    * @param task the task to run
    */
   public void runWhenFresh(Runnable task) {
+    addSuspension();
     long now = clock.getAsLong();
     lastUsedAtMs = now;
     if (now - lastReadAtMs < FRESHNESS_MS || now - lastFailureAtMs < FRESHNESS_MS) {
@@ -113,12 +122,13 @@
   }
 
   /**
-   * Returns whether the registrations are so old that an upstream may have left unnoticed.
+   * Returns the age of the registrations.
    *
-   * @return true if the registrations have not been read recently
+   * @return milliseconds since the last successful read was requested
    */
-  public boolean isStale() {
-    return clock.getAsLong() - lastReadAtMs > STALE_AFTER_MS;
+  public long ageMs() {
+    addSuspension();
+    return clock.getAsLong() - lastReadAtMs;
   }
 
   /**
@@ -169,6 +179,16 @@
     return configuration.get().map(c -> c.evacuated().contains(dataCentre)).orElse(false);
   }
 
+  /** Adds time that the monotonic clock did not count to the age of the registrations. */
+  private void addSuspension() {
+    long suspendedMs = suspensionDetector.suspendedMs(clock.getAsLong(), timeOfDay.getAsLong());
+    if (suspendedMs > 0 && lastReadAtMs != NEVER) {
+      lastReadAtMs -= suspendedMs;
+      lastFailureAtMs -= suspendedMs;
+      readRequestedAtMs -= suspendedMs;
+    }
+  }
+
   private void schedulePoll() {
     if (!pollScheduled) {
       pollScheduled = true;
@@ -189,6 +209,7 @@
       return;
     }
     readInProgress = true;
+    readRequestedAtMs = clock.getAsLong();
     CompletableFuture<UpstreamChange> call =
         revision < 0 ? store.readUpstreams() : store.readUpstreamChanges(revision);
     call.whenComplete(
@@ -231,9 +252,11 @@
   }
 
   private void apply(UpstreamChange change) {
+    addSuspension();
     long now = clock.getAsLong();
     revision = change.revision();
-    lastReadAtMs = now;
+    // The response may have waited while this host was frozen, so its age counts from the request.
+    lastReadAtMs = readRequestedAtMs;
     outageDetector.recordRead(revision, now);
     Set<String> missing =
         change.fullSnapshot() ? new HashSet<>(registry.registeredIds()) : new HashSet<>();
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -9,12 +9,15 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -27,9 +30,6 @@
  * request and a complete response with no bytes after it. Confined to its event loop.
  */
 public final class HttpClient {
-  private static final int MAX_LINE_BYTES = 16_384;
-  private static final int MAX_HEADER_BYTES = 65_536;
-  private static final int MAX_CHUNK_BYTES = 65_536;
   private static final int KEEPALIVE_PROBE_INTERVAL_S = 1;
   private static final int MAX_KEEPALIVE_PROBES = 2;
 
@@ -37,6 +37,8 @@
   private final HttpClientSettings limits;
   private final LongSupplier clock;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
+  private final Set<ServerConnection> buffering = new HashSet<>();
+  private long bufferedBytes;
   private long openedConnections;
 
   /**
@@ -154,10 +156,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel ch) {
-                    ch.pipeline()
-                        .addLast(
-                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(connection);
+                    connection.addTo(ch.pipeline());
                   }
                 });
     if (limits.tcpKeepAlive()) {
@@ -172,6 +171,24 @@
     return b;
   }
 
+  /**
+   * Records body bytes that a connection has buffered. If all connections together buffer too much,
+   * the exchange with the largest body fails.
+   */
+  void addBuffered(ServerConnection connection, int bytes) {
+    bufferedBytes += bytes;
+    buffering.add(connection);
+    while (bufferedBytes > limits.maxBufferedBytes() && !buffering.isEmpty()) {
+      Collections.max(buffering, Comparator.comparingInt(ServerConnection::bodyLength))
+          .failExchange("response buffers exhausted");
+    }
+  }
+
+  void removeBuffered(ServerConnection connection, int bytes) {
+    bufferedBytes -= bytes;
+    buffering.remove(connection);
+  }
+
   void addIdle(ServerConnection c) {
     idle.computeIfAbsent(c.connectionPoolKey(), p -> new ArrayDeque<>()).addFirst(c);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClientSettings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClientSettings.java
@@ -8,6 +8,11 @@
  *     milliseconds
  * @param tcpKeepAlive whether idle connections are probed by TCP
  * @param maxResponseBytes largest body of a response, in bytes
+ * @param maxBufferedBytes most body bytes of incomplete responses on all connections together
  */
 public record HttpClientSettings(
-    int connectTimeoutMs, long idleTimeoutMs, boolean tcpKeepAlive, int maxResponseBytes) {}
+    int connectTimeoutMs,
+    long idleTimeoutMs,
+    boolean tcpKeepAlive,
+    int maxResponseBytes,
+    int maxBufferedBytes) {}
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -31,6 +33,12 @@
   private static final double KEEP_ALIVE_SAFETY_FACTOR = 0.8;
   private static final long MS_PER_SECOND = 1_000;
   private static final HttpVersion VERSION = HttpVersion.HTTP_1_1;
+  private static final int MAX_LINE_BYTES = 16_384;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+
+  /** Limit on what a server may send in an exchange besides the body, in bytes. */
+  private static final int MAX_OVERHEAD_BYTES = 131_072;
 
   private final HttpClient client;
   private final String connectionPoolKey;
@@ -40,6 +48,8 @@
   private @Nullable HttpResponse head;
   private byte[] body = new byte[0];
   private int bodyLength;
+  private long receivedBytes;
+  private boolean headReceived;
   private boolean skippingResponse;
   private boolean reusable = true;
   private boolean requestWritten;
@@ -76,6 +86,18 @@
     }
   }
 
+  /** Adds the handlers of this connection to the pipeline of its channel. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline
+        .addLast(new ReceivedBytes())
+        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+        .addLast(this);
+  }
+
+  int bodyLength() {
+    return bodyLength;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -89,6 +111,8 @@
     }
     exchange = e;
     requestWritten = false;
+    receivedBytes = 0;
+    headReceived = false;
     e.attach(ch);
     e.markSending();
     ChannelFuture f = ch.writeAndFlush(toNettyRequest(e.request()));
@@ -139,6 +163,23 @@
     }
   }
 
+  /**
+   * Limits the bytes that a server sends in an exchange, whether or not they are a response: some
+   * bytes, such as blank lines before a response, never reach the decoder's output.
+   */
+  private void onReceived(int bytes) {
+    if (exchange == null) {
+      // Unsolicited bytes: later responses could not be matched to their requests.
+      close();
+      return;
+    }
+    receivedBytes += bytes;
+    int maxBodyBytes = headReceived ? limits.maxResponseBytes() : 0;
+    if (receivedBytes > maxBodyBytes + (long) MAX_OVERHEAD_BYTES) {
+      failExchange("too many bytes without a complete response");
+    }
+  }
+
   private void startResponse(HttpResponse r) {
     if (r.decoderResult().isFailure()) {
       failExchange("malformed response");
@@ -147,7 +188,8 @@
     Exchange e = exchange;
     skippingResponse = e == null || !e.request().responseMatcher().test(r.headers());
     head = r;
-    bodyLength = 0;
+    headReceived = true;
+    dropBody();
   }
 
   private void appendBody(ByteBuf content) {
@@ -164,6 +206,13 @@
     }
     content.readBytes(body, bodyLength, n);
     bodyLength += n;
+    client.addBuffered(this, n);
+  }
+
+  private void dropBody() {
+    client.removeBuffered(this, bodyLength);
+    body = new byte[0];
+    bodyLength = 0;
   }
 
   private void completeResponse() {
@@ -209,8 +258,7 @@
   private void release() {
     exchange = null;
     head = null;
-    body = new byte[0];
-    bodyLength = 0;
+    dropBody();
     idleSinceMs = client.now();
     if (reusable && isOpen()) {
       client.addIdle(this);
@@ -219,9 +267,10 @@
     }
   }
 
-  private void failExchange(String cause) {
+  void failExchange(String cause) {
     Exchange e = exchange;
     exchange = null;
+    dropBody();
     reusable = false;
     close();
     if (e != null) {
@@ -241,4 +290,15 @@
     failExchange("connection closed");
     ctx.fireChannelInactive();
   }
+
+  /** Counts the bytes that arrive, before they are decoded. Confined to the event loop. */
+  private final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      if (msg instanceof ByteBuf bytes) {
+        onReceived(bytes.readableBytes());
+      }
+      ctx.fireChannelRead(msg);
+    }
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -26,7 +26,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 1;
+  private static final int FORMAT_VERSION = 2;
   private static final int MAX_ITEMS = 1_000;
 
   private LinkCodec() {}
@@ -80,6 +80,7 @@
     } else if (message instanceof LinkMessage.DecisionMade decided) {
       out.writeUInt32NoTag(Type.DECISION_MADE.ordinal());
       writeDecision(out, decided.decision());
+      out.writeUInt64NoTag(decided.registrationsAgeMs());
     } else if (message instanceof LinkMessage.AttemptsEnded ended) {
       out.writeUInt32NoTag(Type.ATTEMPTS_ENDED.ordinal());
       writeAttempts(out, ended);
@@ -116,7 +117,7 @@
     DECISION_MADE {
       @Override
       LinkMessage read(CodedInputStream in) throws IOException {
-        return new LinkMessage.DecisionMade(readDecision(in));
+        return new LinkMessage.DecisionMade(readDecision(in), in.readUInt64());
       }
     },
     ATTEMPTS_ENDED {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -57,8 +57,10 @@
    * Returns the decision on a submitted request.
    *
    * @param decision the decision
+   * @param registrationsAgeMs the age of the upstream registrations that it rests on, in
+   *     milliseconds
    */
-  record DecisionMade(PlacementDecision decision) implements LinkMessage {}
+  record DecisionMade(PlacementDecision decision, long registrationsAgeMs) implements LinkMessage {}
 
   /**
    * Reports ended attempts: the newest first, then some earlier ones again, because datagrams may
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.Scheduler;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.gateway.control.UpstreamsController;
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -86,8 +87,10 @@
   void requestDecision(String service, PlacementRequest request, Runnable onDeclined) {
     upstreams.runWhenFresh(
         () -> {
-          boolean othersKnowMore = upstreams.isStale() && anotherHostReachesStore.getAsBoolean();
-          if (upstreams.isNeverRead() || othersKnowMore) {
+          boolean tooOld =
+              RegistrationAge.isTooOldForPlacement(
+                  upstreams.ageMs(), anotherHostReachesStore.getAsBoolean());
+          if (upstreams.isNeverRead() || tooOld) {
             onDeclined.run();
           } else {
             decide(service, request);
@@ -95,6 +98,11 @@
         });
   }
 
+  /** Returns the age of the registrations that decisions rest on, in milliseconds. */
+  long registrationsAgeMs() {
+    return upstreams.ageMs();
+  }
+
   private void decide(String service, PlacementRequest request) {
     long now = clock.getAsLong();
     lastRequestAtMs.put(service, now);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.decisions.routing.SchedulerRanking;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
@@ -168,8 +169,7 @@
           submitted.request(),
           () -> link.send(new LinkMessage.RequestDeclined(keyOf(submitted)), from));
     } else if (message instanceof LinkMessage.DecisionMade decided) {
-      suspectedAtMs.remove(from);
-      handleDecision(decided.decision(), from);
+      onDecisionMade(decided, from);
     } else if (message instanceof LinkMessage.RequestDeclined declined) {
       PendingRequest pendingRequest = pendingRequests.get(declined.key().sequenceNumber());
       if (pendingRequest != null && from.equals(pendingRequest.scheduler)) {
@@ -272,6 +272,21 @@
     }
   }
 
+  private void onDecisionMade(LinkMessage.DecisionMade decided, Address from) {
+    boolean tooOld =
+        decided.decision() instanceof PlacementDecision.Placed
+            && RegistrationAge.isTooOldForPlacement(
+                decided.registrationsAgeMs(), peers.anyHostReachesStore(clock.getAsLong()));
+    PendingRequest pendingRequest = pendingRequests.get(decided.decision().key().sequenceNumber());
+    if (!tooOld || pendingRequest == null || !from.equals(pendingRequest.scheduler)) {
+      suspectedAtMs.remove(from);
+      handleDecision(decided.decision(), from);
+      return;
+    }
+    returnPlacement(pendingRequest, (PlacementDecision.Placed) decided.decision(), from);
+    skipScheduler(pendingRequest, from, "stale");
+  }
+
   private void handleDecision(PlacementDecision placementDecision, Address from) {
     PendingRequest pendingRequest = pendingRequests.get(placementDecision.key().sequenceNumber());
     boolean expected = pendingRequest != null && from.equals(pendingRequest.scheduler);
@@ -319,7 +334,8 @@
     if (placementDecision.key().hostHash() != selfHash) {
       Address requester = requesters.get(placementDecision.key().hostHash());
       if (requester != null) {
-        link.send(new LinkMessage.DecisionMade(placementDecision), requester);
+        long ageMs = schedulers.registrationsAgeMs();
+        link.send(new LinkMessage.DecisionMade(placementDecision, ageMs), requester);
       }
       return;
     }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementDuringStoreOutageTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementDuringStoreOutageTest.java
@@ -38,7 +38,7 @@
   private final EventLog log = new EventLog(output);
   private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
   private final UpstreamsController upstreams =
-      new UpstreamsController(time.loop(), time::nowMs, log, store, Optional::empty);
+      new UpstreamsController(time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty);
   private final LocalSchedulers schedulers =
       new LocalSchedulers(
           time.loop(),
@@ -48,7 +48,7 @@
           upstreams,
           new UpstreamProber(
               new HttpClient(
-                  time.loop(), new HttpClientSettings(100, 100, false, 1_000), time::nowMs),
+                  time.loop(), new HttpClientSettings(100, 100, false, 1_000, 1_000), time::nowMs),
               unusedHeaders()),
           () -> peers.anotherHostReachesStore(time.nowMs()));
   private final PlacementClient placement =
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.gateway.site.UpstreamChange;
@@ -21,10 +22,12 @@
   private final VirtualTimeLoop time = new VirtualTimeLoop();
   private final FakeStore store = new FakeStore();
   private Set<String> evacuated = Set.of();
+  private long suspendedMs;
   private final UpstreamsController controller =
       new UpstreamsController(
           time.loop(),
           time::nowMs,
+          () -> time.nowMs() + suspendedMs,
           new EventLog(OutputStream.nullOutputStream()),
           store,
           () ->
@@ -185,9 +188,38 @@
   void shouldBeStaleWhenTheStoreHasNotBeenReadRecently() {
     runTask();
     completeRead(0, change(10, true, upstream("a", false, 0, 1)));
-    assertThat(controller.isStale()).isFalse();
-    time.run(1_400);
-    assertThat(controller.isStale()).isTrue();
+    assertThat(isStale()).isFalse();
+    time.run(RegistrationAge.MAX_FOR_PLACEMENT_MS + 10);
+    assertThat(isStale()).isTrue();
+  }
+
+  private boolean isStale() {
+    return RegistrationAge.isTooOldForPlacement(controller.ageMs(), true);
+  }
+
+  /** Guards against placements by a host that does not notice that it was suspended. */
+  @Test
+  void shouldReadAgainBeforeTheTaskWhenTheMachineWasSuspended() {
+    runTask();
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    suspendedMs += 4_000;
+    runTask();
+    assertThat(taskRuns).isEqualTo(1);
+    completeRead(1, change(20, false, upstream("a", true, 0, 1)));
+    assertThat(taskRuns).isEqualTo(2);
+    assertThat(usableIds()).isEmpty();
+  }
+
+  /**
+   * Guards against a frozen host that takes a response, which waited until it ran again, for a
+   * fresh one.
+   */
+  @Test
+  void shouldBeStaleWhenTheHostWasFrozenDuringARead() {
+    runTask();
+    time.run(4_000);
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    assertThat(isStale()).isTrue();
   }
 
   @Test
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -45,9 +45,10 @@
               new PlacementRequest(KEY, "dc", "r", 2, 300, 250, 900, 60_000, true, Set.of("u"))),
           new LinkMessage.DecisionMade(
               new PlacementDecision.Placed(
-                  KEY, new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0))),
-          new LinkMessage.DecisionMade(new PlacementDecision.Rejected(KEY, 40)),
-          new LinkMessage.DecisionMade(new PlacementDecision.Queued(KEY)),
+                  KEY, new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0)),
+              700),
+          new LinkMessage.DecisionMade(new PlacementDecision.Rejected(KEY, 40), 1_600),
+          new LinkMessage.DecisionMade(new PlacementDecision.Queued(KEY), 0),
           new LinkMessage.AttemptsEnded(
               "s",
               List.of(
