Draining: every accepted request is answered; a planned stop resets no response

Cause (operators' story, planned stop under load): while draining, the first response on a connection closed it and cancelled the requests behind it, which already ran at upstreams; the process exited as soon as no request was in flight, so that the kernel reset connections whose callers had not read the last response; connections that were accepted but whose first request was on its way were closed at once.

Change: the last accepted request of a connection is its last, later ones are left unread; the host exits when all connections are closed (or at the end of its grace time); a new connection is kept for 0.5 s for its first request; established connections are accepted before the port closes.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -343,8 +343,8 @@
     if (!accepting) {
       callers.closeUnusedConnections();
     }
-    boolean idle = !accepting && callers.inFlight() == 0;
-    if (idle || elapsedMs > settings.bounds().terminationGraceMs() - EXIT_MARGIN_MS) {
+    boolean finished = !accepting && callers.isEmpty();
+    if (finished || elapsedMs > settings.bounds().terminationGraceMs() - EXIT_MARGIN_MS) {
       log.event("left").with("in_flight", callers.inFlight()).with("after_ms", elapsedMs).write();
       drained.complete(null);
       return;
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
@@ -37,6 +37,7 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final int MAX_PIPELINED = 32;
   private static final long CLOSE_DELAY_MS = 1_000;
+  private static final long FIRST_REQUEST_WAIT_MS = 500;
 
   private final CallerListener listener;
   private final Channel channel;
@@ -47,6 +48,9 @@
   private int bodyLength;
   private boolean rejected;
   private boolean closing;
+  private boolean ignoresRequests;
+  private boolean servedRequest;
+  private final long openedAtMs;
   private long lastActivityMs;
   private long headReceivedMs;
 
@@ -54,15 +58,21 @@
     this.listener = listener;
     this.channel = channel;
     this.limits = limits;
-    this.lastActivityMs = listener.now();
+    this.openedAtMs = listener.now();
+    this.lastActivityMs = openedAtMs;
   }
 
   int inFlight() {
     return pipeline.size() + (head != null ? 1 : 0);
   }
 
-  void closeIfUnused() {
-    if (inFlight() == 0) {
+  /**
+   * Closes the connection if no request is in flight. A connection on which no request has arrived
+   * yet stays open for a moment, because its first request is probably on the way.
+   */
+  void closeIfUnused(long nowMs) {
+    boolean awaitsFirstRequest = !servedRequest && nowMs - openedAtMs < FIRST_REQUEST_WAIT_MS;
+    if (inFlight() == 0 && !closing && !awaitsFirstRequest) {
       channel.close();
     }
   }
@@ -80,7 +90,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
     lastActivityMs = listener.now();
     try {
-      if (!closing) {
+      if (!closing && !ignoresRequests) {
         read(msg);
       }
     } finally {
@@ -90,6 +100,7 @@
 
   private void read(Object msg) {
     if (msg instanceof HttpRequest r) {
+      servedRequest = true;
       startRequest(r);
     }
     if (msg instanceof HttpContent c && head != null) {
@@ -187,6 +198,9 @@
   }
 
   private void flush() {
+    if (listener.draining()) {
+      acceptNoMoreRequests();
+    }
     boolean wrote = false;
     while (!pipeline.isEmpty() && channel.isActive()) {
       PipelinedRequest first = pipeline.peekFirst();
@@ -196,7 +210,7 @@
       }
       pipeline.removeFirst();
       wrote = true;
-      if (write(a, first.closesConnection || listener.draining())) {
+      if (write(a, first.closesConnection)) {
         return;
       }
     }
@@ -206,6 +220,16 @@
     }
   }
 
+  /** Makes the last request that has been accepted the last one of the connection. */
+  private void acceptNoMoreRequests() {
+    PipelinedRequest last = pipeline.peekLast();
+    if (last != null && !last.closesConnection) {
+      last.closesConnection = true;
+      ignoresRequests = true;
+      head = null;
+    }
+  }
+
   /** Writes a response; returns true if it is the last one of the connection. */
   private boolean write(CallerResponse a, boolean last) {
     lastActivityMs = listener.now();
@@ -263,7 +287,7 @@
 
   /** A request in the pipeline of the connection. */
   private static final class PipelinedRequest {
-    private final boolean closesConnection;
+    private boolean closesConnection;
     private @Nullable CallerResponse response;
     private RequestHandler.Cancellable execution = RequestHandler.Cancellable.COMPLETED;
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerListener.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerListener.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +24,7 @@
  */
 public final class CallerListener {
   private static final int BACKLOG = 1_024;
+  private static final long ACCEPT_PENDING_MS = 5;
   private static final int MAX_LINE_BYTES = 16_384;
   private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -95,11 +97,15 @@
     List.copyOf(connections).forEach(c -> c.closeIfTimedOut(l, now));
   }
 
-  /** Stops accepting connections and closes each open one after its next response. */
+  /**
+   * Stops accepting connections and closes each open one after its next response. Connections that
+   * the system has already established are accepted first, because closing would reset them.
+   */
   public void stopListening() {
     draining = true;
-    if (channel != null) {
-      channel.close();
+    Channel listening = channel;
+    if (listening != null) {
+      loop.schedule(() -> listening.close(), ACCEPT_PENDING_MS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -110,7 +116,8 @@
 
   /** Closes connections without requests in flight. */
   public void closeUnusedConnections() {
-    List.copyOf(connections).forEach(CallerConnection::closeIfUnused);
+    long now = clock.getAsLong();
+    List.copyOf(connections).forEach(c -> c.closeIfUnused(now));
   }
 
   /**
@@ -122,6 +129,15 @@
     return connections.stream().mapToInt(CallerConnection::inFlight).sum();
   }
 
+  /**
+   * Checks whether all connections are closed.
+   *
+   * @return false while a caller may still have to read a response
+   */
+  public boolean isEmpty() {
+    return connections.isEmpty();
+  }
+
   List<RequestHandler> handlers() {
     return handlers;
   }
