Store: no host schedules or retries often while the store turns it away; traffic between data centres has its cost

A host that had never called the store counted as reaching it. Uploads and large responses crossed data centres for a gain of some milliseconds.

Change: gossip says whether a host has lately read the store, fails or does not know (StoreContact); hosts that fail do not schedule unless several fail and none succeeds; only schedulers of other hosts poll; retries back off to 1.5 s; 3 readers in each data centre; the choice of an upstream adds a bounded cost for bytes (request and expected response) between data centres.

Tests: OldPlacementTest, PeerTableTest, ConfigurationControllerTest, UpstreamsControllerTest.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/HeartbeatState.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/HeartbeatState.java
@@ -7,7 +7,7 @@
  * @param incarnation number that identifies a start of the host; a higher one is later
  * @param counter number of heartbeats since that start
  * @param leaving whether the host is leaving
- * @param reachesStore whether the host reaches the store
+ * @param storeContact what the host knows about its path to the store
  * @param knowsUpstreams whether the host has read the upstreams since that start
  */
 public record HeartbeatState(
@@ -15,7 +15,7 @@
     long incarnation,
     long counter,
     boolean leaving,
-    boolean reachesStore,
+    StoreContact storeContact,
     boolean knowsUpstreams) {
   /**
    * Checks whether this state is newer than another one of the same host.
--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -17,6 +18,9 @@
  * number of messages per host and round is constant. Confined to one thread.
  */
 public final class PeerTable {
+  /** Number of hosts whose calls fail that shows an outage rather than a fault of their own. */
+  private static final int MIN_FAILING_HOSTS = 3;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final long deadAfterMs;
@@ -37,7 +41,7 @@
     this.selfHash = hash(selfName);
     this.deadAfterMs = deadAfterMs;
     this.random = random;
-    this.ownState = new HeartbeatState(selfHash, 0, 0, false, true, false);
+    this.ownState = new HeartbeatState(selfHash, 0, 0, false, StoreContact.UNKNOWN, false);
   }
 
   /**
@@ -68,7 +72,8 @@
         nameHash,
         new Peer(
             hostRegistration,
-            new HeartbeatState(nameHash, hostRegistration.incarnation(), 0, false, false, false),
+            new HeartbeatState(
+                nameHash, hostRegistration.incarnation(), 0, false, StoreContact.UNKNOWN, false),
             nowMs));
     if (nameHash == selfHash) {
       ownState =
@@ -77,7 +82,7 @@
               hostRegistration.incarnation(),
               ownState.counter(),
               ownState.leaving(),
-              ownState.reachesStore(),
+              ownState.storeContact(),
               ownState.knowsUpstreams());
     }
     return true;
@@ -108,19 +113,20 @@
   /**
    * Starts a gossip round by incrementing the counter of this host.
    *
-   * @param reachesStore whether this host reaches the store
+   * @param storeContact what this host knows about its path to the store
    * @param knowsUpstreams whether this host has read the upstreams since its start
    * @param nowMs the current time on the same clock, in milliseconds
    * @return the heartbeats to send: of this host and of all others that are alive
    */
-  public List<HeartbeatState> startRound(boolean reachesStore, boolean knowsUpstreams, long nowMs) {
+  public List<HeartbeatState> startRound(
+      StoreContact storeContact, boolean knowsUpstreams, long nowMs) {
     ownState =
         new HeartbeatState(
             selfHash,
             ownState.incarnation(),
             ownState.counter() + 1,
             ownState.leaving(),
-            reachesStore,
+            storeContact,
             knowsUpstreams);
     List<HeartbeatState> result = new ArrayList<>();
     result.add(ownState);
@@ -212,7 +218,7 @@
             ownState.incarnation(),
             ownState.counter(),
             true,
-            ownState.reachesStore(),
+            ownState.storeContact(),
             ownState.knowsUpstreams());
   }
 
@@ -236,69 +242,70 @@
   }
 
   /**
-   * Returns the hosts that can schedule. While no host reaches the store, these are the hosts that
-   * have read the upstreams since their start, because the others cannot learn about any upstream.
+   * Returns the hosts that can schedule: those that may reach the store. During an outage of the
+   * store these are the hosts that have read the upstreams since their start, because the others
+   * cannot learn about any upstream.
    *
    * @param nowMs the current time on the same clock, in milliseconds
-   * @return the eligible hosts; all usable hosts if none has read the upstreams
+   * @return the eligible hosts; all usable hosts if none fulfils the condition
    */
   public List<HostRegistration> eligibleSchedulers(long nowMs) {
+    Predicate<HeartbeatState> condition =
+        isStoreOutage(nowMs)
+            ? HeartbeatState::knowsUpstreams
+            : state -> state.storeContact() != StoreContact.FAILING;
     List<HostRegistration> usable = usableHosts(nowMs);
-    if (anyHostReachesStore(nowMs)) {
-      return usable;
-    }
-    List<HostRegistration> withUpstreams = usable.stream().filter(this::knowsUpstreams).toList();
-    return withUpstreams.isEmpty() ? usable : withUpstreams;
+    List<HostRegistration> eligible =
+        usable.stream().filter(host -> condition.test(stateOf(host))).toList();
+    return eligible.isEmpty() ? usable : eligible;
   }
 
-  private boolean knowsUpstreams(HostRegistration host) {
+  private HeartbeatState stateOf(HostRegistration host) {
     int nameHash = hash(host.name());
     Peer p = peers.get(nameHash);
-    return nameHash == selfHash
-        ? ownState.knowsUpstreams()
-        : p != null && p.heartbeat.knowsUpstreams();
+    return p == null || nameHash == selfHash ? ownState : p.heartbeat;
   }
 
   /**
-   * Checks whether another host reaches the store.
+   * Checks whether a host has lately read the store.
    *
    * @param nowMs the current time on the same clock, in milliseconds
-   * @return true if a usable host other than this one has announced that it does
+   * @return true if this host or another usable host has
    */
-  public boolean anotherHostReachesStore(long nowMs) {
-    return peers.values().stream().anyMatch(p -> reachingStore(p, nowMs));
+  public boolean isStoreConfirmed(long nowMs) {
+    return countUsable(StoreContact.CONFIRMED, nowMs) > 0;
   }
 
   /**
-   * Checks whether any host reaches the store.
+   * Checks whether the store seems to be unavailable to all hosts.
    *
    * @param nowMs the current time on the same clock, in milliseconds
-   * @return true if this host or another usable host does
+   * @return true if calls of several hosts, or of all, fail and no host has lately read the store
    */
-  public boolean anyHostReachesStore(long nowMs) {
-    return ownState.reachesStore() || anotherHostReachesStore(nowMs);
+  public boolean isStoreOutage(long nowMs) {
+    int failing = countUsable(StoreContact.FAILING, nowMs);
+    int needed = Math.min(MIN_FAILING_HOSTS, usableHosts(nowMs).size());
+    return failing > 0 && failing >= needed && !isStoreConfirmed(nowMs);
+  }
+
+  private int countUsable(StoreContact contact, long nowMs) {
+    return (int)
+        usableHosts(nowMs).stream().filter(host -> stateOf(host).storeContact() == contact).count();
   }
 
   /**
-   * Returns the other usable hosts that have announced that they reach the store.
+   * Returns the other usable hosts that may reach the store.
    *
    * @param nowMs the current time on the same clock, in milliseconds
-   * @return their registrations
+   * @return registrations of those whose calls to the store do not fail
    */
   public List<HostRegistration> reachingStore(long nowMs) {
-    return peers.values().stream()
-        .filter(p -> reachingStore(p, nowMs))
-        .map(p -> p.registration)
+    return usableHosts(nowMs).stream()
+        .filter(host -> hash(host.name()) != selfHash)
+        .filter(host -> stateOf(host).storeContact() != StoreContact.FAILING)
         .toList();
   }
 
-  private boolean reachingStore(Peer p, long nowMs) {
-    return p.heartbeat.hostHash() != selfHash
-        && p.heartbeat.reachesStore()
-        && !p.heartbeat.leaving()
-        && isAlive(p, nowMs);
-  }
-
   /**
    * Returns the number of registered hosts, dead or alive.
    *
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementRequest.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementRequest.java
@@ -15,7 +15,7 @@
  * @param objectiveRemainingMs time left to meet the latency objective, in milliseconds; 0 if it was
  *     missed
  * @param deadlineRemainingMs time left until the deadline of the caller's request, in milliseconds
- * @param bodyBytes the size of the request body
+ * @param transferBytes the size of the request body and, as far as known, of the response body
  * @param hedge whether this is a hedge, that is, a second attempt alongside a running one; a hedge
  *     is never queued and only takes a slot that no queued request needs
  * @param excludedUpstreams identities of the upstreams that must not be chosen
@@ -28,7 +28,7 @@
     long latencyObjectiveMs,
     long objectiveRemainingMs,
     long deadlineRemainingMs,
-    int bodyBytes,
+    int transferBytes,
     boolean hedge,
     Set<String> excludedUpstreams) {
   /** Checks and copies the components. */
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/ResponseTimeEstimator.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/ResponseTimeEstimator.java
@@ -17,6 +17,8 @@
   private static final double FAULT_RATE_WEIGHT = 4;
   private static final double COLD_SLOWDOWN = 2.5;
   private static final double BYTES_PER_KB = 1_000;
+  private static final double TRAFFIC_COST_MS_PER_KB = 2;
+  private static final double MAX_TRAFFIC_COST_SHARE_OF_OBJECTIVE = 0.25;
 
   /** Returns the processing time of a request on an undisturbed upstream. */
   double processingMs(PlacementRequest request) {
@@ -36,11 +38,30 @@
         + connectionMs(load, request, nowMs);
   }
 
+  /**
+   * Returns the cost by which upstreams are compared: the time until the response, and a penalty
+   * for traffic between data centres, which is expensive. The penalty is limited, so that it costs
+   * requests only time that they can spare.
+   */
+  double costMs(UpstreamLoad load, PlacementRequest request, double meanSlowdown, long nowMs) {
+    return responseMs(load, request, meanSlowdown, nowMs)
+        + trafficCostMs(load.registration(), request);
+  }
+
+  private static double trafficCostMs(UpstreamRegistration upstream, PlacementRequest request) {
+    if (isSameDataCentre(upstream, request)) {
+      return 0;
+    }
+    return Math.min(
+        request.transferBytes() / BYTES_PER_KB * TRAFFIC_COST_MS_PER_KB,
+        request.objectiveRemainingMs() * MAX_TRAFFIC_COST_SHARE_OF_OBJECTIVE);
+  }
+
   private double transferMs(UpstreamRegistration upstream, PlacementRequest request) {
     if (isSameDataCentre(upstream, request)) {
       return 0;
     }
-    double kb = request.bodyBytes() / BYTES_PER_KB;
+    double kb = request.transferBytes() / BYTES_PER_KB;
     return settings.crossDataCentreRoundTripMs() + kb * settings.crossDataCentreMsPerKb();
   }
 
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -381,17 +381,17 @@
 
   private Optional<UpstreamLoad> findBestUpstream(PlacementRequest request, long nowMs) {
     UpstreamLoad best = null;
-    double bestMs = Double.MAX_VALUE;
+    double lowestCostMs = Double.MAX_VALUE;
     boolean allBackingOff =
         loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
     for (UpstreamLoad upstream : loads.values()) {
       if (!isEligible(upstream, request.excludedUpstreams(), allBackingOff, nowMs)) {
         continue;
       }
-      double responseMs = responseTimeEstimator.responseMs(upstream, request, meanSlowdown, nowMs);
-      if (responseMs < bestMs) {
+      double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
+      if (costMs < lowestCostMs) {
         best = upstream;
-        bestMs = responseMs;
+        lowestCostMs = costMs;
       }
     }
     return Optional.ofNullable(best);
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/SchedulerSettings.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/SchedulerSettings.java
@@ -5,8 +5,8 @@
  *
  * @param crossDataCentreRoundTripMs duration of a round trip to another data centre, in
  *     milliseconds
- * @param crossDataCentreMsPerKb cost of sending one KB of a request body to another data centre, in
- *     milliseconds
+ * @param crossDataCentreMsPerKb time that one KB of a body takes in addition if it crosses data
+ *     centres, in milliseconds
  * @param connectCostMs cost of establishing a connection, in milliseconds, in addition to the round
  *     trip
  * @param warmupRateShare share of the request rate limit of a cold upstream that one scheduler may
--- a/decisions/src/main/java/dev/cactusstack/decisions/registrations/RegistrationAge.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/registrations/RegistrationAge.java
@@ -14,14 +14,13 @@
   private RegistrationAge() {}
 
   /**
-   * Checks whether a placement must not be used because of the age of its registrations.
+   * Checks whether registrations are too old to place requests by them. They are used all the same
+   * while no host can read newer ones.
    *
    * @param ageMs the age of the registrations, in milliseconds
-   * @param anyHostReachesStore whether a host with newer registrations can be asked instead; if no
-   *     host can read the store, the registrations are used however old they are
-   * @return true if another host has to decide
+   * @return true if another host has to decide, if there is one that can
    */
-  public static boolean isTooOldForPlacement(long ageMs, boolean anyHostReachesStore) {
-    return anyHostReachesStore && ageMs > MAX_FOR_PLACEMENT_MS;
+  public static boolean isTooOldForPlacement(long ageMs) {
+    return ageMs > MAX_FOR_PLACEMENT_MS;
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import dev.cactusstack.decisions.directory.DirectoryPolicy;
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.gateway.callers.CallerListener;
 import dev.cactusstack.gateway.callers.ForwardingContext;
@@ -44,6 +45,7 @@
   private static final long DRAIN_ACCEPT_MS = 3_000;
   private static final long DRAIN_CHECK_INTERVAL_MS = 50;
   private static final long EXIT_MARGIN_MS = 500;
+  private static final long STORE_CONFIRMED_MS = 1_200;
   private static final int MIN_DIRECTORY_HOSTS = 2;
   private static final int MAX_DIRECTORY_HOSTS = 64;
   private static final long MAX_INITIAL_SEQUENCE_NUMBER = 1L << 40;
@@ -52,7 +54,7 @@
   private static final int MAX_RESPONSE_BYTES = 8 << 20;
   private static final int MAX_BUFFERED_BYTES = 12 << 20;
   private static final double CROSS_DATA_CENTRE_ROUND_TRIP_MS = 12;
-  private static final double CROSS_DATA_CENTRE_MS_PER_KB = 1;
+  private static final double CROSS_DATA_CENTRE_MS_PER_KB = 0.3;
   private static final double CONNECT_COST_MS = 12;
   private static final double WARMUP_RATE_SHARE = 0.45;
   private static final double RETRY_RATIO_SHARE = 0.9;
@@ -130,7 +132,7 @@
             configuration,
             self,
             random,
-            () -> !configuration.isStoreFailing() && !upstreams.isStoreFailing(),
+            this::storeContact,
             () -> !upstreams.isNeverRead());
     GatewaySettings.Bounds siteBounds = settings.bounds();
     var gatewayMetrics = new GatewayMetrics();
@@ -161,7 +163,7 @@
             schedulerSettings,
             upstreams,
             prober,
-            () -> peers.anotherHostReachesStore(clock.getAsLong()));
+            () -> peers.isStoreConfirmed(clock.getAsLong()));
     this.placement =
         new PlacementClient(
             loop,
@@ -282,6 +284,13 @@
     }
   }
 
+  private StoreContact storeContact() {
+    if (configuration.isStoreFailing() || upstreams.isStoreFailing()) {
+      return StoreContact.FAILING;
+    }
+    return upstreams.ageMs() < STORE_CONFIRMED_MS ? StoreContact.CONFIRMED : StoreContact.UNKNOWN;
+  }
+
   private boolean readsConfiguration() {
     return hosts.isConfigurationReader();
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -115,7 +115,7 @@
             route.latencyObjectiveMs(),
             Math.max(0, objectiveAtMs - now()),
             Math.max(0, remainingMs()),
-            request.body().length,
+            request.body().length + context.responseSizes().estimateBytes(route.name()),
             isHedge,
             triedUpstreams);
     context.placement().requestPlacement(service, placementRequest, v -> decided(v, isHedge));
@@ -255,6 +255,7 @@
     }
     if (end == AttemptOutcome.ANSWERED && result instanceof ExchangeResult.Response r) {
       recordProcessingTime(now() - a.startedAtMs, load);
+      context.responseSizes().recordResponse(route.name(), r.body().length);
       deliver(r, a.upstream);
       return;
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import dev.cactusstack.decisions.matching.WeightedRoundRobin;
 import dev.cactusstack.decisions.placing.ProcessingTimes;
+import dev.cactusstack.decisions.placing.ResponseSizes;
 import dev.cactusstack.decisions.retries.CallerElapsedTime;
 import dev.cactusstack.decisions.retries.IdleReuseLimit;
 import dev.cactusstack.decisions.retries.RetryWindow;
@@ -30,6 +31,7 @@
  * @param retryWindows retry budgets, by service
  * @param idleReuseLimits limits on the idle time of reused connections, by service
  * @param processingTimes typical response times, by route
+ * @param responseSizes typical sizes of response bodies, by route
  * @param callerElapsedTime estimates the time a caller has spent before its request arrives, by
  *     route
  * @param retryBudget the settings of retry budgets
@@ -47,6 +49,7 @@
     Map<String, RetryWindow> retryWindows,
     Map<String, IdleReuseLimit> idleReuseLimits,
     ProcessingTimes processingTimes,
+    ResponseSizes responseSizes,
     CallerElapsedTime callerElapsedTime,
     RetryBudget retryBudget,
     GatewayMetrics figures) {
@@ -86,6 +89,7 @@
         new HashMap<>(),
         new HashMap<>(),
         new ProcessingTimes(),
+        new ResponseSizes(),
         new CallerElapsedTime(),
         retryBudget,
         figures);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -37,6 +37,8 @@
   private static final long WATCH_TIMEOUT_MS = 20_000;
   private static final long ANNOUNCED_CHANGE_WAIT_MS = 300;
   private static final long READ_RETRY_MS = 250;
+  private static final long MAX_READ_RETRY_MS = 1_500;
+  private static final long UNKNOWN_REVISION = 0;
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -52,6 +54,7 @@
   private boolean rereadPending;
   private boolean storeFailing;
   private long failingSinceMs;
+  private long retryDelayMs = READ_RETRY_MS;
   private long lastChangeRevision;
   private long watchRevision;
 
@@ -195,7 +198,10 @@
   }
 
   private boolean isBehind(long revision) {
-    return activeConfiguration == null || activeConfiguration.revision() < revision;
+    if (activeConfiguration == null) {
+      return revision != UNKNOWN_REVISION;
+    }
+    return activeConfiguration.revision() < revision;
   }
 
   private void readIfBehind(long revision) {
@@ -245,11 +251,19 @@
     followStore();
   }
 
+  /**
+   * Retries soon while this host knows no configuration, and less and less often once it does:
+   * other hosts announce changes, and calls that the store refuses cost as much as others.
+   */
   private void scheduleRetry() {
-    loop.schedule(this::followStore, READ_RETRY_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(this::followStore, retryDelayMs, TimeUnit.MILLISECONDS);
+    if (activeConfiguration != null) {
+      retryDelayMs = Math.min(MAX_READ_RETRY_MS, retryDelayMs * 2);
+    }
   }
 
   private void onStoreRecovered() {
+    retryDelayMs = READ_RETRY_MS;
     if (storeFailing) {
       storeFailing = false;
       log.event("store_regained").with("after_ms", clock.getAsLong() - failingSinceMs).write();
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -3,6 +3,7 @@
 import dev.cactusstack.decisions.gossip.ConfigurationReaders;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
@@ -17,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Tracks the other hosts of the site: registers this host, reads the registrations of others, and
@@ -32,7 +34,7 @@
   private static final long REGISTER_RETRY_MS = 400;
   private static final long STARTUP_SETTLE_MS = 1_500;
   private static final int CONFIGURATION_FANOUT = 3;
-  private static final ConfigurationReaders CONFIGURATION_READERS = new ConfigurationReaders(6);
+  private static final ConfigurationReaders CONFIGURATION_READERS = new ConfigurationReaders(3);
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -43,7 +45,7 @@
   private final ConfigurationController configuration;
   private final HostRegistration self;
   private final Random random;
-  private final BooleanSupplier reachesStore;
+  private final Supplier<StoreContact> storeContact;
   private final BooleanSupplier knowsUpstreams;
   private long startedAtMs;
   private boolean registered;
@@ -60,7 +62,7 @@
    * @param configuration the configuration whose revision is gossiped
    * @param self this host's registration
    * @param random chooses which heartbeats are sent when there are too many
-   * @param reachesStore whether this host reaches the store
+   * @param storeContact supplies what this host knows about its path to the store
    * @param knowsUpstreams whether this host has read the upstreams
    */
   public HostsController(
@@ -73,7 +75,7 @@
       ConfigurationController configuration,
       HostRegistration self,
       Random random,
-      BooleanSupplier reachesStore,
+      Supplier<StoreContact> storeContact,
       BooleanSupplier knowsUpstreams) {
     this.loop = loop;
     this.clock = clock;
@@ -84,7 +86,7 @@
     this.configuration = configuration;
     this.self = self;
     this.random = random;
-    this.reachesStore = reachesStore;
+    this.storeContact = storeContact;
     this.knowsUpstreams = knowsUpstreams;
   }
 
@@ -199,7 +201,7 @@
   private void sendGossip(int fanout) {
     long now = clock.getAsLong();
     List<HeartbeatState> states =
-        peers.startRound(reachesStore.getAsBoolean(), knowsUpstreams.getAsBoolean(), now);
+        peers.startRound(storeContact.get(), knowsUpstreams.getAsBoolean(), now);
     if (states.size() > MAX_HEARTBEATS) {
       Collections.shuffle(states.subList(1, states.size()), random);
       states = states.subList(0, MAX_HEARTBEATS);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -26,10 +26,10 @@
 /**
  * Tracks the upstreams that are registered in the store.
  *
- * <p>Registrations are polled at short intervals, but only while this host places requests. A
- * registration that is missing after an outage of the store is kept for a short time, because
- * registrations expire during an outage and upstreams then register again. Confined to the event
- * loop.
+ * <p>Registrations are polled at short intervals, but only while this host places requests of other
+ * hosts. To place its own, it reads them when they are not fresh. A registration that is missing
+ * after an outage of the store is kept for a short time, because registrations expire during an
+ * outage and upstreams then register again. Confined to the event loop.
  */
 public final class UpstreamsController {
   private static final long POLL_INTERVAL_MS = 700;
@@ -38,6 +38,7 @@
   private static final long MAX_READ_WAIT_MS = 150;
   private static final long RENEWAL_TIME_MS = 2_200;
   private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final long FAILURE_MEMORY_MS = 5_000;
   private static final long FAILURE_LOG_INTERVAL_MS = 3_000;
 
   private final EventLoop loop;
@@ -108,9 +109,7 @@
   public void runWhenFresh(Runnable task) {
     addSuspension();
     long now = clock.getAsLong();
-    lastUsedAtMs = now;
     if (now - lastReadAtMs < FRESHNESS_MS || now - lastFailureAtMs < FRESHNESS_MS) {
-      schedulePoll();
       task.run();
       return;
     }
@@ -121,6 +120,12 @@
     read();
   }
 
+  /** Polls the registrations for some time, because this host places requests of other hosts. */
+  public void keepFresh() {
+    lastUsedAtMs = clock.getAsLong();
+    schedulePoll();
+  }
+
   /**
    * Returns the age of the registrations.
    *
@@ -141,12 +146,14 @@
   }
 
   /**
-   * Returns whether the last read of the registrations failed.
+   * Returns whether reads of the registrations fail.
    *
-   * @return true until a read succeeds
+   * @return true from a failed read until one succeeds, or until the failure is so long ago that it
+   *     says nothing about the store any more
    */
   public boolean isStoreFailing() {
-    return lastFailureAtMs > lastReadAtMs;
+    return lastFailureAtMs > lastReadAtMs
+        && clock.getAsLong() - lastFailureAtMs < FAILURE_MEMORY_MS;
   }
 
   /**
@@ -245,9 +252,6 @@
   private void runWaitingTasks() {
     List<Runnable> tasks = List.copyOf(waitingTasks);
     waitingTasks.clear();
-    if (!tasks.isEmpty()) {
-      schedulePoll();
-    }
     tasks.forEach(Runnable::run);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
+import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
@@ -172,7 +173,7 @@
       out.writeUInt64NoTag(heartbeat.incarnation());
       out.writeUInt64NoTag(heartbeat.counter());
       out.writeBoolNoTag(heartbeat.leaving());
-      out.writeBoolNoTag(heartbeat.reachesStore());
+      out.writeUInt32NoTag(heartbeat.storeContact().ordinal());
       out.writeBoolNoTag(heartbeat.knowsUpstreams());
     }
   }
@@ -198,7 +199,7 @@
               in.readUInt64(),
               in.readUInt64(),
               in.readBool(),
-              in.readBool(),
+              StoreContact.values()[readCount(in)],
               in.readBool()));
     }
     return new LinkMessage.Gossip(revision, startedHosts, heartbeats);
@@ -213,7 +214,7 @@
     out.writeUInt64NoTag(placementRequest.latencyObjectiveMs());
     out.writeUInt64NoTag(placementRequest.objectiveRemainingMs());
     out.writeUInt64NoTag(placementRequest.deadlineRemainingMs());
-    out.writeUInt32NoTag(placementRequest.bodyBytes());
+    out.writeUInt32NoTag(placementRequest.transferBytes());
     out.writeBoolNoTag(placementRequest.hedge());
     out.writeUInt32NoTag(placementRequest.excludedUpstreams().size());
     for (String excludedId : placementRequest.excludedUpstreams()) {
@@ -229,7 +230,7 @@
     long objectiveMs = in.readUInt64();
     long objectiveLeftMs = in.readUInt64();
     long deadlineLeftMs = in.readUInt64();
-    int bodySize = in.readUInt32();
+    int transferSize = in.readUInt32();
     boolean isHedge = in.readBool();
     Set<String> excludedIds = new HashSet<>();
     for (int n = readCount(in); n > 0; n--) {
@@ -243,7 +244,7 @@
         objectiveMs,
         objectiveLeftMs,
         deadlineLeftMs,
-        bodySize,
+        transferSize,
         isHedge,
         excludedIds);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -35,7 +35,7 @@
   private final SchedulerSettings settings;
   private final UpstreamsController upstreams;
   private final UpstreamProber prober;
-  private final BooleanSupplier anotherHostReachesStore;
+  private final BooleanSupplier storeConfirmed;
   private final Map<String, Scheduler> schedulersByService = new HashMap<>();
   private final Map<String, Long> lastRequestAtMs = new HashMap<>();
   private Consumer<PlacementDecision> decisionListener = v -> {};
@@ -51,7 +51,7 @@
    * @param settings settings of the schedulers
    * @param upstreams tracks the upstreams
    * @param prober probes the load of upstreams
-   * @param anotherHostReachesStore whether another host reaches the store
+   * @param storeConfirmed whether a host has lately read the store
    */
   public LocalSchedulers(
       EventLoop loop,
@@ -60,14 +60,14 @@
       SchedulerSettings settings,
       UpstreamsController upstreams,
       UpstreamProber prober,
-      BooleanSupplier anotherHostReachesStore) {
+      BooleanSupplier storeConfirmed) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.settings = settings;
     this.upstreams = upstreams;
     this.prober = prober;
-    this.anotherHostReachesStore = anotherHostReachesStore;
+    this.storeConfirmed = storeConfirmed;
     upstreams.onChange(this::refreshUpstreams);
   }
 
@@ -82,14 +82,15 @@
 
   /**
    * Decides on a request of another host. Declines it if the upstreams have never been read, or are
-   * stale while another host reaches the store.
+   * stale while another host has read them.
    */
   void requestDecision(String service, PlacementRequest request, Runnable onDeclined) {
+    upstreams.keepFresh();
     upstreams.runWhenFresh(
         () -> {
           boolean tooOld =
-              RegistrationAge.isTooOldForPlacement(
-                  upstreams.ageMs(), anotherHostReachesStore.getAsBoolean());
+              RegistrationAge.isTooOldForPlacement(upstreams.ageMs())
+                  && storeConfirmed.getAsBoolean();
           if (upstreams.isNeverRead() || tooOld) {
             onDeclined.run();
           } else {
@@ -98,6 +99,16 @@
         });
   }
 
+  /**
+   * Checks whether this host can read newer registrations than those that a placement rests on.
+   *
+   * @param onResult receives true if this host has fresh registrations now
+   */
+  void tryRefresh(Consumer<Boolean> onResult) {
+    upstreams.runWhenFresh(
+        () -> onResult.accept(!RegistrationAge.isTooOldForPlacement(upstreams.ageMs())));
+  }
+
   /** Returns the age of the registrations that decisions rest on, in milliseconds. */
   long registrationsAgeMs() {
     return upstreams.ageMs();
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -272,18 +272,43 @@
     }
   }
 
+  /**
+   * Handles a decision of another host. A placement that rests on old registrations is used only if
+   * nobody seems to have newer ones.
+   */
   private void onDecisionMade(LinkMessage.DecisionMade decided, Address from) {
+    PendingRequest pendingRequest = pendingRequests.get(decided.decision().key().sequenceNumber());
+    long now = clock.getAsLong();
     boolean tooOld =
         decided.decision() instanceof PlacementDecision.Placed
-            && RegistrationAge.isTooOldForPlacement(
-                decided.registrationsAgeMs(), peers.anyHostReachesStore(clock.getAsLong()));
-    PendingRequest pendingRequest = pendingRequests.get(decided.decision().key().sequenceNumber());
+            && RegistrationAge.isTooOldForPlacement(decided.registrationsAgeMs())
+            && !peers.isStoreOutage(now);
     if (!tooOld || pendingRequest == null || !from.equals(pendingRequest.scheduler)) {
       suspectedAtMs.remove(from);
       handleDecision(decided.decision(), from);
       return;
     }
-    returnPlacement(pendingRequest, (PlacementDecision.Placed) decided.decision(), from);
+    var placed = (PlacementDecision.Placed) decided.decision();
+    if (peers.isStoreConfirmed(now)) {
+      rejectOldPlacement(pendingRequest, placed, from);
+      return;
+    }
+    schedulers.tryRefresh(
+        refreshed -> {
+          boolean pending =
+              pendingRequests.get(placed.key().sequenceNumber()) == pendingRequest
+                  && from.equals(pendingRequest.scheduler);
+          if (refreshed && pending) {
+            rejectOldPlacement(pendingRequest, placed, from);
+          } else {
+            handleDecision(placed, from);
+          }
+        });
+  }
+
+  private void rejectOldPlacement(
+      PendingRequest pendingRequest, PlacementDecision.Placed placed, Address from) {
+    returnPlacement(pendingRequest, placed, from);
     skipScheduler(pendingRequest, from, "stale");
   }
 
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -205,4 +205,31 @@
         .extracting(ConfigurationSnapshot::lastChangeRevision)
         .containsExactly(12L, 14L);
   }
+
+  @Test
+  void shouldNotReadTheStoreWhenAHostWithoutConfigurationAnnouncesItsRevision() {
+    controller.onRevisionAnnounced(0, queriedRevisions::add);
+    time.run(500);
+    assertThat(queriedRevisions).isEmpty();
+    assertThat(store.configurationReads).hasSize(1);
+  }
+
+  /** Guards against hosts that the store turns away and that call it again and again. */
+  @Test
+  void shouldRetryLessOftenWhenTheStoreKeepsFailing() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    store
+        .configurationWatches
+        .get(0)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    for (int read = 1; read <= 6; read++) {
+      store
+          .configurationReads
+          .get(read)
+          .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+      time.run(1_510);
+    }
+    time.run(0);
+    assertThat(store.configurationReads.size()).isBetween(7, 8);
+  }
 }
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
@@ -0,0 +1,140 @@
+package dev.cactusstack.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.decisions.gossip.HeartbeatState;
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.placing.PlacementDecision;
+import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.scheduling.LocalSchedulers;
+import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.UpstreamProber;
+import dev.cactusstack.gateway.site.StoreException;
+import dev.cactusstack.gateway.site.UpstreamChange;
+import dev.cactusstack.gateway.site.UpstreamHeaders;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.UpstreamRegistration;
+import java.io.OutputStream;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against requests to an upstream that has left, sent because a scheduler that was frozen or
+ * cut off from the store still knew it.
+ */
+class OldPlacementTest {
+  private static final Address SCHEDULER = new Address("127.0.0.1", 9);
+  private static final int STRONG = 6_000;
+  private static final int WEAK = 600;
+
+  private final VirtualTimeLoop time = new VirtualTimeLoop();
+  private final FakeStore store = new FakeStore();
+  private final EventLog log = new EventLog(OutputStream.nullOutputStream());
+  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
+  private final UpstreamsController upstreams =
+      new UpstreamsController(time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty);
+  private final LocalSchedulers schedulers =
+      new LocalSchedulers(
+          time.loop(),
+          time::nowMs,
+          log,
+          new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
+          upstreams,
+          new UpstreamProber(TestClients.unused(time), unusedHeaders()),
+          () -> peers.isStoreConfirmed(time.nowMs()));
+  private final PlacementClient placement =
+      new PlacementClient(
+          time.loop(), time::nowMs, log, new Link(time.loop(), log), peers, schedulers, "self", 0);
+  private final List<PlacementDecision> decisions = new ArrayList<>();
+
+  private static UpstreamHeaders unusedHeaders() {
+    return (UpstreamHeaders)
+        Proxy.newProxyInstance(
+            UpstreamHeaders.class.getClassLoader(),
+            new Class<?>[] {UpstreamHeaders.class},
+            (proxy, method, args) -> {
+              throw new AssertionError("no message is expected in this test");
+            });
+  }
+
+  private void register(String name, Address address, int milliCores) {
+    peers.recordStart(
+        new HostRegistration(name, "dc", address, address, milliCores, 1), time.nowMs());
+  }
+
+  private void receiveHeartbeat(String name, long counter, StoreContact contact) {
+    peers.mergeHeartbeats(
+        List.of(new HeartbeatState(PeerTable.hash(name), 1, counter, false, contact, true)),
+        time.nowMs());
+  }
+
+  private static UpstreamRegistration upstream(String id) {
+    return new UpstreamRegistration(id, "s", new Address("127.0.0.1", 80), "dc", 4, false, 0, 1, 1);
+  }
+
+  /** Requests a placement from the other host and lets it answer by registrations of some age. */
+  private void receivePlacement(long registrationsAgeMs) {
+    register("self", new Address("127.0.0.1", 8), WEAK);
+    register("scheduler", SCHEDULER, STRONG);
+    receiveHeartbeat("scheduler", 1, StoreContact.UNKNOWN);
+    var request =
+        new PlacementRequest(
+            placement.nextKey(), "dc", "r", 1, 300, 300, 1_000, 0, false, Set.of());
+    placement.requestPlacement("s", request, decisions::add);
+    var placed = new PlacementDecision.Placed(request.key(), upstream("left"));
+    placement.onMessage(new LinkMessage.DecisionMade(placed, registrationsAgeMs), SCHEDULER);
+  }
+
+  private List<String> placedOn() {
+    return decisions.stream()
+        .map(decision -> ((PlacementDecision.Placed) decision).upstream().id())
+        .toList();
+  }
+
+  @Test
+  void shouldUseAPlacementWhenItsRegistrationsAreRecent() {
+    receivePlacement(700);
+    assertThat(placedOn()).containsExactly("left");
+  }
+
+  @Test
+  void shouldNotUseAnOldPlacementWhenThisHostCanReadNewerRegistrations() {
+    receivePlacement(5_000);
+    assertThat(decisions).isEmpty();
+    store
+        .upstreamReads
+        .get(0)
+        .complete(new UpstreamChange(10, true, Map.of("b", Optional.of(upstream("b")))));
+    assertThat(placedOn()).containsExactly("b");
+  }
+
+  @Test
+  void shouldUseAnOldPlacementWhenThisHostCannotReadNewerRegistrations() {
+    receivePlacement(5_000);
+    store
+        .upstreamReads
+        .get(0)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
+    assertThat(placedOn()).containsExactly("left");
+  }
+
+  @Test
+  void shouldNotUseAnOldPlacementWhenAnotherHostHasReadTheStore() {
+    register("reader", new Address("127.0.0.1", 10), WEAK);
+    receiveHeartbeat("reader", 1, StoreContact.CONFIRMED);
+    receivePlacement(5_000);
+    assertThat(decisions).isEmpty();
+  }
+}
