Upstream faults: a late rejection without an id is not the answer of a request that runs

Change: ResponseMatcher tells whether the connection is new; only there an answer without an id counts.

--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -204,12 +204,16 @@
     }
   }
 
-  private boolean matchesRequest(HttpHeaders h) {
+  /**
+   * Checks whether a response belongs to this request. A rejection without an id is accepted only
+   * on a new connection: on another one it may be a late copy of an earlier rejection.
+   */
+  private boolean matchesRequest(HttpHeaders h, boolean newConnection) {
     return context
         .wire()
         .requestId(h)
         .map(id::equals)
-        .orElseGet(() -> context.wire().reportsNotRun(0, h));
+        .orElseGet(() -> newConnection && context.wire().reportsNotRun(0, h));
   }
 
   private long hedgeDelayMs() {
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/OutgoingRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/OutgoingRequest.java
@@ -3,7 +3,6 @@
 import dev.cactusstack.model.Address;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.function.Predicate;
 
 /**
  * A request to a server. Confined to one thread.
@@ -14,7 +13,7 @@
  * @param target its target
  * @param headers its header fields, without those of the body
  * @param body its body, possibly empty
- * @param responseMatcher checks by the header fields whether a response belongs to this request
+ * @param responseMatcher checks whether a response belongs to this request
  * @param maxIdleMs longest idle time of a connection to be reused, in milliseconds
  */
 public record OutgoingRequest(
@@ -24,5 +23,5 @@
     String target,
     HttpHeaders headers,
     byte[] body,
-    Predicate<HttpHeaders> responseMatcher,
+    ResponseMatcher responseMatcher,
     long maxIdleMs) {}
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -48,6 +48,7 @@
   private @Nullable HttpResponse head;
   private byte[] body = new byte[0];
   private int bodyLength;
+  private int exchanges;
   private long receivedBytes;
   private boolean headReceived;
   private boolean skippingResponse;
@@ -110,6 +111,7 @@
       return;
     }
     exchange = e;
+    exchanges++;
     requestWritten = false;
     receivedBytes = 0;
     headReceived = false;
@@ -186,7 +188,8 @@
       return;
     }
     Exchange e = exchange;
-    skippingResponse = e == null || !e.request().responseMatcher().test(r.headers());
+    skippingResponse =
+        e == null || !e.request().responseMatcher().matches(r.headers(), exchanges == 1);
     head = r;
     headReceived = true;
     dropBody();
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
@@ -52,7 +52,8 @@
             path,
             headers,
             new byte[0],
-            responseHeaders -> upstreamHeaders.isProbeResponse(responseHeaders, upstream.id()),
+            (responseHeaders, newConnection) ->
+                upstreamHeaders.isProbeResponse(responseHeaders, upstream.id()),
             Long.MAX_VALUE);
     client.send(
         request,
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -37,7 +37,7 @@
         "/",
         new DefaultHttpHeaders().set("id", id),
         new byte[0],
-        h -> id.equals(h.get("id")),
+        (h, newConnection) -> id.equals(h.get("id")),
         Long.MAX_VALUE);
   }
 
