Placement: upstreams that shed a part of their requests stay in use

The estimate of the response time also grew with the fault rate, so that requests were held not to fit.

Change: refusals have a rate of their own, which adds to the cost of an upstream and blocks it only from 0.8 on; faults and refusals no longer count as response time.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/ResponseTimeEstimator.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/ResponseTimeEstimator.java
@@ -5,9 +5,10 @@
 /**
  * Estimates the response time of a request on an upstream.
  *
- * <p>The estimate is the processing time, scaled by the upstream's slowdown, its occupied slots and
- * its fault rate, plus the network transfer, plus a new connection if none can be reused. Confined
- * to one thread.
+ * <p>The estimate is the processing time, scaled by the upstream's slowdown and its occupied slots,
+ * plus the network transfer, plus a new connection if none can be reused. Faults and refusals add
+ * to the cost by which upstreams are compared, not to the time: an upstream that fails some
+ * requests is the last choice, but still better than none. Confined to one thread.
  *
  * @param settings costs of network transfers and connections
  * @param processingTimes processing times on an undisturbed upstream
@@ -15,6 +16,7 @@
 record ResponseTimeEstimator(SchedulerSettings settings, ProcessingTimes processingTimes) {
   private static final double OCCUPANCY_WEIGHT = 0.4;
   private static final double FAULT_RATE_WEIGHT = 4;
+  private static final double REFUSAL_RATE_WEIGHT = 1;
   private static final double COLD_SLOWDOWN = 2.5;
   private static final double BYTES_PER_KB = 1_000;
   private static final double TRAFFIC_COST_MS_PER_KB = 2;
@@ -33,7 +35,7 @@
     }
     double occupancy = load.occupiedSlots(nowMs) / (double) load.registration().slots();
     double processing = processingMs(request) * slowdown * (1 + OCCUPANCY_WEIGHT * occupancy);
-    return processing * (1 + FAULT_RATE_WEIGHT * load.faultRate())
+    return processing
         + transferMs(load.registration(), request)
         + connectionMs(load, request, nowMs);
   }
@@ -44,7 +46,10 @@
    * requests only time that they can spare.
    */
   double costMs(UpstreamLoad load, PlacementRequest request, double meanSlowdown, long nowMs) {
+    double lossWeight =
+        FAULT_RATE_WEIGHT * load.faultRate() + REFUSAL_RATE_WEIGHT * load.refusalRate();
     return responseMs(load, request, meanSlowdown, nowMs)
+        + processingMs(request) * lossWeight
         + trafficCostMs(load.registration(), request);
   }
 
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /**
- * A scheduler's view of one upstream: held slots, slowdown and fault rate.
+ * A scheduler's view of one upstream: held slots, slowdown, fault rate and refusal rate.
  *
  * <p>The slowdown is the factor by which processing is slower than on an undisturbed upstream. The
  * weight of a reported slowdown decays with its age in favour of the mean over all upstreams,
@@ -20,6 +20,9 @@
   private static final double GOOD_SLOWDOWN_LIMIT = 1.5;
   private static final double FAULT_RATE_SMOOTHING = 0.35;
   private static final double BACKOFF_FAULT_RATE = 0.5;
+  private static final double REFUSAL_RATE_SMOOTHING = 0.2;
+  private static final double BACKOFF_REFUSAL_RATE = 0.8;
+  private static final long REFUSAL_BACKOFF_MS = 200;
   private static final long INITIAL_BACKOFF_MS = 400;
   private static final int MAX_BACKOFF_DOUBLINGS = 3;
   private static final double OVERDUE_RATIO = 2.0;
@@ -36,6 +39,7 @@
   private long otherSlotsReportedAtMs = Long.MIN_VALUE / 2;
   private long lastProbeSentAtMs = Long.MIN_VALUE / 2;
   private double faultRate;
+  private double refusalRate;
   private int consecutiveBackoffs;
   private long backoffUntilMs = Long.MIN_VALUE / 2;
 
@@ -53,6 +57,7 @@
       heldSlots.clear();
       lastResponseByHost.clear();
       faultRate = 0;
+      refusalRate = 0;
       consecutiveBackoffs = 0;
       backoffUntilMs = nowMs;
     }
@@ -116,10 +121,13 @@
       lastResponseByHost.put(report.key().hostHash(), nowMs);
     }
     report.load().ifPresent(reported -> recordReportedLoad(reported, nowMs));
-    if (report.outcome().upstreamFault()) {
+    if (report.outcome() == AttemptOutcome.REFUSED) {
+      recordRefusal(nowMs);
+    } else if (report.outcome().upstreamFault()) {
       recordFault(nowMs);
     } else if (report.outcome() == AttemptOutcome.ANSWERED) {
       faultRate *= 1 - FAULT_RATE_SMOOTHING;
+      refusalRate *= 1 - REFUSAL_RATE_SMOOTHING;
       consecutiveBackoffs = faultRate < BACKOFF_FAULT_RATE ? 0 : consecutiveBackoffs;
     }
   }
@@ -155,6 +163,17 @@
     otherSlotsReportedAtMs = nowMs;
   }
 
+  /**
+   * Records that the upstream did not run a request. An upstream that sheds a part of its requests
+   * stays in use, because a refused request can be sent to another one at once.
+   */
+  private void recordRefusal(long nowMs) {
+    refusalRate += (1 - refusalRate) * REFUSAL_RATE_SMOOTHING;
+    if (refusalRate >= BACKOFF_REFUSAL_RATE) {
+      backoffUntilMs = Math.max(backoffUntilMs, nowMs + REFUSAL_BACKOFF_MS);
+    }
+  }
+
   private void recordFault(long nowMs) {
     faultRate += (1 - faultRate) * FAULT_RATE_SMOOTHING;
     if (faultRate >= BACKOFF_FAULT_RATE) {
@@ -168,6 +187,10 @@
     return faultRate;
   }
 
+  double refusalRate() {
+    return refusalRate;
+  }
+
   /** Returns the age of the last reported slowdown, capped; the cap if there is no report yet. */
   long slowdownAgeMs(long nowMs) {
     return Math.min(nowMs - slowdownReportedAtMs, MAX_REPORTED_AGE_MS);
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -5,7 +5,9 @@
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +30,9 @@
   private static final long STEP_MS = 2;
   private static final long PROBE_INTERVAL_MS = 50;
   private static final long PROBE_ROUND_TRIP_MS = 5;
+  private static final long REFUSAL_ROUND_TRIP_MS = 4;
+  private static final int MAX_SENDS = 4;
+  private static final long RETRY_KEY_OFFSET = 1_000_000;
   private static final long HANG_MS = 100_000;
   private static final int HOSTS = 6;
   private static final long HEDGE_AFTER_MS = 140;
@@ -45,6 +50,11 @@
       return true;
     }
 
+    /** Returns the share of its requests that an upstream refuses to run. */
+    default double refusalShare(int upstream, long nowMs) {
+      return 0;
+    }
+
     /** Returns how much longer an upstream is cold, in milliseconds. */
     default long warmupRemainingMs(int upstream, long nowMs) {
       return 0;
@@ -92,6 +102,9 @@
   private record RunningAttempt(
       Arrival arrival, PlacementKey key, int upstream, double processingRemainingMs) {}
 
+  /** A placement that the upstream refuses at a given time. */
+  private record Refusal(long atMs, PlacementDecision.Placed placed) {}
+
   /** The results as seen by callers. */
   record ReplayResult(int asked, int onTime, int late, int rejected, int maxColdPerSecond) {
     int missed() {
@@ -184,6 +197,9 @@
     var probing = new PriorityQueue<long[]>((a, b) -> Long.compare(a[0], b[0]));
     var tally = new ResultCounter();
     int next = 0;
+    Map<PlacementKey, Set<String>> refusedBy = new HashMap<>();
+    var refusals = new PriorityQueue<Refusal>(Comparator.comparingLong(Refusal::atMs));
+    var refusalRandom = new SplittableRandom(upstreams);
     long seconds = 0;
     for (long now = 0; now < lengthMs + DEADLINE_MS; now += STEP_MS) {
       if (now % 500 == 0) {
@@ -203,6 +219,9 @@
           verdicts.addAll(scheduler.recordProbeResponse("u" + u, load(u, now), now));
         }
       }
+      while (!refusals.isEmpty() && refusals.peek().atMs <= now) {
+        verdicts.addAll(retryRefused(scheduler, refusals.remove(), refusedBy, asked, now));
+      }
       if (probes && now % PROBE_INTERVAL_MS == 0) {
         for (UpstreamRegistration u : scheduler.selectProbeTargets(now)) {
           probing.add(
@@ -250,7 +269,11 @@
           int u = Integer.parseInt(p.upstream().id().substring(1));
           Arrival a = asked.get(v.key());
           tally.sent(u, now);
-          running.add(new RunningAttempt(a, v.key(), u, a.processingMs));
+          if (refusalRandom.nextDouble() < pattern.refusalShare(u, now)) {
+            refusals.add(new Refusal(now + REFUSAL_ROUND_TRIP_MS, p));
+          } else {
+            running.add(new RunningAttempt(a, v.key(), u, a.processingMs));
+          }
         } else if (v instanceof PlacementDecision.Rejected && v.key().hostHash() != 0) {
           tally.rejected++;
         }
@@ -259,6 +282,44 @@
     return tally.outcome();
   }
 
+  /** Reports a refusal and requests another upstream for the request. */
+  private List<PlacementDecision> retryRefused(
+      Scheduler scheduler,
+      Refusal refusal,
+      Map<PlacementKey, Set<String>> refusedBy,
+      Map<PlacementKey, Arrival> asked,
+      long now) {
+    PlacementKey key = refusal.placed.key();
+    String upstream = refusal.placed.upstream().id();
+    var report = new AttemptReport(key, upstream, AttemptOutcome.REFUSED, 1, Optional.empty());
+    List<PlacementDecision> decisions = new ArrayList<>(scheduler.report(report, now));
+    Set<String> tried = new HashSet<>(refusedBy.getOrDefault(key, Set.of()));
+    tried.add(upstream);
+    if (tried.size() >= MAX_SENDS) {
+      return decisions;
+    }
+    var retryKey = new PlacementKey(key.hostHash(), key.sequenceNumber() + RETRY_KEY_OFFSET);
+    refusedBy.put(retryKey, tried);
+    Arrival arrival = asked.get(key);
+    asked.put(retryKey, arrival);
+    long passed = now - arrival.atMs;
+    decisions.addAll(
+        scheduler.submit(
+            new PlacementRequest(
+                retryKey,
+                "dc",
+                "r",
+                1,
+                OBJECTIVE_MS,
+                Math.max(0, OBJECTIVE_MS - passed),
+                Math.max(0, DEADLINE_MS - passed),
+                0,
+                false,
+                tried),
+            now));
+    return decisions;
+  }
+
   private List<UpstreamRegistration> entries(long now) {
     List<UpstreamRegistration> out = new ArrayList<>();
     for (int u = 0; u < upstreams; u++) {
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerReplayTest.java
@@ -146,4 +146,33 @@
     assertThat(after.onTime()).isGreaterThan(before.onTime());
     assertThat(after.rejected()).isLessThan(before.rejected());
   }
+
+  /**
+   * Replays upstreams that shed nearly half of their requests, at a load that the others and what
+   * they take leave room for: nothing may be rejected while an upstream that may run it is free.
+   */
+  @Test
+  void shouldRejectNothingWhenMostUpstreamsShedAPartOfTheirRequestsAndSlotsAreFree() {
+    Replay r =
+        replay(
+            new Replay.LoadPattern() {
+              @Override
+              public double requestsPerSecond(long nowMs) {
+                return 120;
+              }
+
+              @Override
+              public double slowdown(int upstream, long nowMs) {
+                return 1;
+              }
+
+              @Override
+              public double refusalShare(int upstream, long nowMs) {
+                return isDuringDisturbance(nowMs) && upstream < UPSTREAMS * 2 / 3 ? 0.45 : 0;
+              }
+            });
+    Replay.ReplayResult after = r.runScheduler(true);
+    assertThat(after.rejected()).isZero();
+    assertThat(after.onTime()).isGreaterThanOrEqualTo((int) (after.asked() * 0.95));
+  }
 }
