Placement: hosts that decide alone spread over upstreams of equal cost

Change: among upstreams whose cost differs by less than 2 ms the scheduler chooses at random (generator injected). SchedulerTest: 36 hosts over 12 upstreams.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
  * Places the requests of one service on its upstreams.
@@ -32,7 +33,11 @@
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
+  /** Costs that differ by less are considered equal. */
+  private static final double EQUAL_COST_MS = 2;
+
   private final SchedulerSettings settings;
+  private final RandomGenerator random;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private final Map<PlacementKey, PlacedRequest> placedRequests = new HashMap<>();
   private final RequestQueue queue = new RequestQueue();
@@ -48,9 +53,12 @@
    * Creates a scheduler without upstreams.
    *
    * @param settings the cost model and warm-up limits
+   * @param random chooses among upstreams of equal cost, so that hosts that decide alone without
+   *     knowing any load do not all choose the same one
    */
-  public Scheduler(SchedulerSettings settings) {
+  public Scheduler(SchedulerSettings settings, RandomGenerator random) {
     this.settings = settings;
+    this.random = random;
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
   }
 
@@ -380,7 +388,7 @@
   }
 
   private Optional<UpstreamLoad> findBestUpstream(PlacementRequest request, long nowMs) {
-    UpstreamLoad best = null;
+    List<UpstreamLoad> cheapest = new ArrayList<>();
     double lowestCostMs = Double.MAX_VALUE;
     boolean allBackingOff =
         loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
@@ -389,12 +397,17 @@
         continue;
       }
       double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
-      if (costMs < lowestCostMs) {
-        best = upstream;
-        lowestCostMs = costMs;
+      if (costMs < lowestCostMs - EQUAL_COST_MS) {
+        cheapest.clear();
+      }
+      if (costMs < lowestCostMs + EQUAL_COST_MS) {
+        cheapest.add(upstream);
       }
+      lowestCostMs = Math.min(lowestCostMs, costMs);
     }
-    return Optional.ofNullable(best);
+    return cheapest.isEmpty()
+        ? Optional.empty()
+        : Optional.of(cheapest.get(random.nextInt(cheapest.size())));
   }
 
   private boolean isEligible(
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -188,7 +188,7 @@
   }
 
   ReplayResult runScheduler(boolean probes, SecondAttempt second) {
-    var scheduler = new Scheduler(SETTINGS);
+    var scheduler = new Scheduler(SETTINGS, new SplittableRandom(upstreams));
     var rule = new ServiceSettings("s", "/h", 100, 3_000, 14);
     List<RunningAttempt> running = new ArrayList<>();
     Map<PlacementKey, Arrival> asked = new HashMap<>();
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -11,13 +11,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
   private static final SchedulerSettings SETTINGS = new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5);
   private static final ServiceSettings RULE = new ServiceSettings("s", "/health", 100, 3_000, 14);
 
-  private final Scheduler scheduler = new Scheduler(SETTINGS);
+  private final Scheduler scheduler = new Scheduler(SETTINGS, new SplittableRandom(1));
   private long number;
 
   private static UpstreamRegistration upstream(String id, int slots, long coldForMs) {
@@ -302,4 +303,21 @@
         scheduler.report(end(running, AttemptOutcome.ANSWERED, 100), 100);
     assertThat(next).extracting(PlacementDecision::key).containsExactly(urgent.key());
   }
+
+  /** Guards against hosts that lose their scheduler and then all overrun the same upstream. */
+  @Test
+  void shouldChooseDifferentUpstreamsWhenManyHostsDecideAloneWithoutKnowingAnyLoad() {
+    List<UpstreamRegistration> upstreams = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      upstreams.add(upstream("u" + i, 4, 0));
+    }
+    Map<String, Integer> placements = new HashMap<>();
+    for (int host = 0; host < 36; host++) {
+      var alone = new Scheduler(SETTINGS, new SplittableRandom(host));
+      alone.updateUpstreams(RULE, upstreams, 0);
+      placements.merge(placedOn(alone.submit(request(300), 0).get(0)), 1, Integer::sum);
+    }
+    assertThat(placements.values()).allMatch(count -> count <= 4 * 2);
+    assertThat(placements).hasSizeGreaterThanOrEqualTo(10);
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -163,7 +163,8 @@
             schedulerSettings,
             upstreams,
             prober,
-            () -> peers.isStoreConfirmed(clock.getAsLong()));
+            () -> peers.isStoreConfirmed(clock.getAsLong()),
+            random);
     this.placement =
         new PlacementClient(
             loop,
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -19,6 +19,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 
 /**
  * The schedulers of this host, one for each service that this or another host has requested.
@@ -36,6 +37,7 @@
   private final UpstreamsController upstreams;
   private final UpstreamProber prober;
   private final BooleanSupplier storeConfirmed;
+  private final RandomGenerator random;
   private final Map<String, Scheduler> schedulersByService = new HashMap<>();
   private final Map<String, Long> lastRequestAtMs = new HashMap<>();
   private Consumer<PlacementDecision> decisionListener = v -> {};
@@ -52,6 +54,7 @@
    * @param upstreams tracks the upstreams
    * @param prober probes the load of upstreams
    * @param storeConfirmed whether a host has lately read the store
+   * @param random source of randomness for placements
    */
   public LocalSchedulers(
       EventLoop loop,
@@ -60,7 +63,8 @@
       SchedulerSettings settings,
       UpstreamsController upstreams,
       UpstreamProber prober,
-      BooleanSupplier storeConfirmed) {
+      BooleanSupplier storeConfirmed,
+      RandomGenerator random) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
@@ -68,6 +72,7 @@
     this.upstreams = upstreams;
     this.prober = prober;
     this.storeConfirmed = storeConfirmed;
+    this.random = random;
     upstreams.onChange(this::refreshUpstreams);
   }
 
@@ -139,7 +144,7 @@
   private Scheduler schedulerFor(String service) {
     Scheduler scheduler = schedulersByService.get(service);
     if (scheduler == null) {
-      scheduler = new Scheduler(settings);
+      scheduler = new Scheduler(settings, random);
       schedulersByService.put(service, scheduler);
       scheduler.updateUpstreams(
           upstreams.serviceSettings(service),
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
@@ -53,7 +53,8 @@
           new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
           upstreams,
           new UpstreamProber(TestClients.unused(time), unusedHeaders()),
-          () -> peers.isStoreConfirmed(time.nowMs()));
+          () -> peers.isStoreConfirmed(time.nowMs()),
+          new Random(1));
   private final PlacementClient placement =
       new PlacementClient(
           time.loop(), time::nowMs, log, new Link(time.loop(), log), peers, schedulers, "self", 0);
