--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -7,10 +7,8 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.registrations.RegistrationAge;
-import dev.cactusstack.decisions.routing.SchedulerRanking;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
-import dev.cactusstack.model.site.HostRegistration;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -37,11 +35,8 @@
 public final class PlacementClient {
   private static final long RESEND_AFTER_MS = 35;
   private static final long RESPONSE_TIMEOUT_MS = 50;
-  private static final long SUSPICION_MS = 1_000;
   private static final int MAX_REMOTE_ATTEMPTS = 2;
   private static final int REPEATED_REPORTS = 2;
-  private static final int RANKING_SIZE = 4;
-  private static final long RANKING_TTL_MS = 250;
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -49,13 +44,12 @@
   private final Link link;
   private final PeerTable peers;
   private final LocalSchedulers schedulers;
+  private final SchedulerSelector selector;
   private final int selfHash;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<Long, Address> schedulerByRequest = new HashMap<>();
   private final Map<Integer, Address> requesters = new HashMap<>();
-  private final Map<Address, Long> suspectedAtMs = new HashMap<>();
   private final Map<Address, Deque<AttemptReport>> recentReports = new HashMap<>();
-  private final Map<String, Ranking> rankings = new HashMap<>();
   private long lastSequenceNumber;
 
   /**
@@ -87,6 +81,7 @@
     this.peers = peers;
     this.schedulers = schedulers;
     this.selfHash = PeerTable.hash(hostName);
+    this.selector = new SchedulerSelector(clock, peers, selfHash);
     this.lastSequenceNumber = initialSequenceNumber;
     schedulers.onDecision(this::handleLocalDecision);
   }
@@ -189,7 +184,7 @@
   private void askScheduler(PendingRequest pendingRequest) {
     Optional<Address> remoteScheduler =
         pendingRequest.attempts < MAX_REMOTE_ATTEMPTS
-            ? findRemoteScheduler(pendingRequest)
+            ? selector.remoteScheduler(pendingRequest.service)
             : Optional.empty();
     pendingRequest.attempts++;
     pendingRequests.put(pendingRequest.request.key().sequenceNumber(), pendingRequest);
@@ -211,31 +206,6 @@
         remoteScheduler);
   }
 
-  /** Returns the host to send the request to, or empty if it is this host. */
-  private Optional<Address> findRemoteScheduler(PendingRequest pendingRequest) {
-    long now = clock.getAsLong();
-    for (HostRegistration host : rankSchedulers(pendingRequest.service, now)) {
-      Long suspectedSinceMs = suspectedAtMs.get(host.linkAddress());
-      if (suspectedSinceMs == null || now - suspectedSinceMs >= SUSPICION_MS) {
-        return PeerTable.hash(host.name()) == selfHash
-            ? Optional.empty()
-            : Optional.of(host.linkAddress());
-      }
-    }
-    return Optional.empty();
-  }
-
-  private List<HostRegistration> rankSchedulers(String service, long now) {
-    Ranking cached = rankings.get(service);
-    if (cached != null && now - cached.rankedAtMs < RANKING_TTL_MS) {
-      return cached.hosts;
-    }
-    List<HostRegistration> ranked =
-        SchedulerRanking.rank(service, peers.eligibleSchedulers(now), RANKING_SIZE);
-    rankings.put(service, new Ranking(ranked, now));
-    return ranked;
-  }
-
   private void onResponseTimeout(PendingRequest pendingRequest) {
     Address scheduler = pendingRequest.scheduler;
     if (pendingRequests.get(pendingRequest.request.key().sequenceNumber()) != pendingRequest
@@ -256,7 +226,7 @@
   /** Sends the request to the next host, and no requests to the given host for a while. */
   private void skipScheduler(PendingRequest pendingRequest, Address scheduler, String reason) {
     pendingRequest.stopTimer();
-    suspectedAtMs.put(scheduler, clock.getAsLong());
+    selector.suspect(scheduler);
     log.event("scheduler_passed_over")
         .with("why", reason)
         .with("service", pendingRequest.service)
@@ -284,7 +254,7 @@
             && RegistrationAge.isTooOldForPlacement(decided.registrationsAgeMs())
             && !peers.isStoreOutage(now);
     if (!tooOld || pendingRequest == null || !from.equals(pendingRequest.scheduler)) {
-      suspectedAtMs.remove(from);
+      selector.clearSuspicion(from);
       handleDecision(decided.decision(), from);
       return;
     }
@@ -378,8 +348,6 @@
     pendingRequest.callback.accept(placementDecision);
   }
 
-  private record Ranking(List<HostRegistration> hosts, long rankedAtMs) {}
-
   private static final class PendingRequest {
     private final String service;
     private final PlacementRequest request;
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
@@ -0,0 +1,74 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.routing.SchedulerRanking;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * Selects the host that schedules a service: the first in the service's ranking that has not
+ * recently failed to respond. Confined to the event loop.
+ */
+final class SchedulerSelector {
+  private static final long SUSPICION_MS = 1_000;
+  private static final int RANKING_SIZE = 4;
+  private static final long RANKING_TTL_MS = 250;
+
+  private final LongSupplier clock;
+  private final PeerTable peers;
+  private final int selfHash;
+  private final Map<Address, Long> suspectedAtMs = new HashMap<>();
+  private final Map<String, Ranking> rankings = new HashMap<>();
+
+  SchedulerSelector(LongSupplier clock, PeerTable peers, int selfHash) {
+    this.clock = clock;
+    this.peers = peers;
+    this.selfHash = selfHash;
+  }
+
+  /** Skips a host for a while. */
+  void suspect(Address scheduler) {
+    suspectedAtMs.put(scheduler, clock.getAsLong());
+  }
+
+  /** Records that a host responds. */
+  void clearSuspicion(Address scheduler) {
+    suspectedAtMs.remove(scheduler);
+  }
+
+  /** Returns the host that schedules a service, or empty if it is this host. */
+  Optional<Address> remoteScheduler(String service) {
+    long now = clock.getAsLong();
+    for (HostRegistration host : rankSchedulers(service, now)) {
+      if (!isSuspected(host.linkAddress(), now)) {
+        return PeerTable.hash(host.name()) == selfHash
+            ? Optional.empty()
+            : Optional.of(host.linkAddress());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean isSuspected(Address scheduler, long now) {
+    Long sinceMs = suspectedAtMs.get(scheduler);
+    return sinceMs != null && now - sinceMs < SUSPICION_MS;
+  }
+
+  private List<HostRegistration> rankSchedulers(String service, long now) {
+    Ranking cached = rankings.get(service);
+    if (cached != null && now - cached.rankedAtMs < RANKING_TTL_MS) {
+      return cached.hosts;
+    }
+    List<HostRegistration> ranked =
+        SchedulerRanking.rank(service, peers.eligibleSchedulers(now), RANKING_SIZE);
+    rankings.put(service, new Ranking(ranked, now));
+    return ranked;
+  }
+
+  private record Ranking(List<HostRegistration> hosts, long rankedAtMs) {}
+}
