Overload: the oldest request gets a slow slot that no other can use before it is rejected

Cause: when more requests were queued than can be on time, the oldest was rejected although upstreams slowed down by neighbours had free slots on which it would have been late, but served. Test: SchedulerTest.shouldPlaceTheOldestOnASlowUpstreamWhenTooManyRequestsAreQueued.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -146,7 +146,10 @@
     return placement.orElseGet(() -> new PlacementDecision.Rejected(request.key(), 0));
   }
 
-  /** Queues a request that can meet its objective and rejects the oldest if too many are queued. */
+  /**
+   * Queues a request that can meet its objective. If too many are queued, the oldest gets a slot
+   * that is too slow for all of them, or is rejected if there is none.
+   */
   private List<PlacementDecision> enqueueOnTime(PlacementRequest request, long nowMs) {
     queue.add(request, nowMs);
     List<PlacementDecision> decisions = new ArrayList<>();
@@ -154,11 +157,16 @@
     if (queue.count(queued -> canMeetObjective(queued, nowMs)) > maxOnTimeRequests(request)) {
       queue
           .removeLast(queued -> canMeetObjective(queued, nowMs))
-          .ifPresent(queued -> decisions.add(reject(queued.request(), 0, nowMs)));
+          .ifPresent(queued -> decisions.add(placeLateOrReject(queued, nowMs)));
     }
     return decisions;
   }
 
+  private PlacementDecision placeLateOrReject(RequestQueue.QueuedRequest queued, long nowMs) {
+    return tryPlace(queued, queued.deadlineRemainingMs(nowMs), nowMs)
+        .orElseGet(() -> reject(queued.request(), 0, nowMs));
+  }
+
   /** Returns how many requests can get a slot before the newest of them misses its objective. */
   private double maxOnTimeRequests(PlacementRequest request) {
     double maxWait =
@@ -366,16 +374,21 @@
    * it can no longer meet that, one on which it is expected to finish before its deadline.
    */
   private Optional<PlacementDecision> tryPlace(RequestQueue.QueuedRequest queued, long nowMs) {
+    double limitMs =
+        canMeetObjective(queued, nowMs)
+            ? queued.objectiveRemainingMs(nowMs)
+            : queued.deadlineRemainingMs(nowMs);
+    return tryPlace(queued, limitMs, nowMs);
+  }
+
+  private Optional<PlacementDecision> tryPlace(
+      RequestQueue.QueuedRequest queued, double limitMs, long nowMs) {
     Optional<UpstreamLoad> bestUpstream = findBestUpstream(queued.request(), nowMs);
     if (bestUpstream.isEmpty()) {
       return Optional.empty();
     }
     double expectedMs =
         responseTimeEstimator.responseMs(bestUpstream.get(), queued.request(), meanSlowdown, nowMs);
-    double limitMs =
-        canMeetObjective(queued, nowMs)
-            ? queued.objectiveRemainingMs(nowMs)
-            : queued.deadlineRemainingMs(nowMs);
     return expectedMs <= limitMs
         ? Optional.of(place(queued.request(), bestUpstream.get(), nowMs))
         : Optional.empty();
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -320,4 +320,23 @@
     assertThat(placements.values()).allMatch(count -> count <= 4 * 2);
     assertThat(placements).hasSizeGreaterThanOrEqualTo(10);
   }
+
+  /**
+   * Guards against rejections under overload while an upstream that is only slow has free slots.
+   */
+  @Test
+  void shouldPlaceTheOldestOnASlowUpstreamWhenTooManyRequestsAreQueued() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("fast", 1, 0), upstream("slow", 1, 0)), 0);
+    scheduler.recordProbeResponse("slow", new ReportedLoad(0, 0, 1, 700), 0);
+    assertThat(placedOn(one(request(300), 0))).isEqualTo("fast");
+    PlacementRequest oldest = request(300);
+    assertThat(one(oldest, 0)).isInstanceOf(PlacementDecision.Queued.class);
+    List<PlacementDecision> decisions = new ArrayList<>();
+    for (int i = 0; i < 10 && decisions.size() < 2; i++) {
+      decisions = new ArrayList<>(scheduler.submit(request(300), 0));
+    }
+    PlacementDecision second = decisions.get(1);
+    assertThat(second.key()).isEqualTo(oldest.key());
+    assertThat(placedOn(second)).isEqualTo("slow");
+  }
 }
