--- a/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
@@ -7,26 +7,16 @@
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementRequest;
-import dev.cactusstack.decisions.placing.SchedulerSettings;
-import dev.cactusstack.gateway.observe.EventLog;
-import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
-import dev.cactusstack.gateway.scheduling.LocalSchedulers;
-import dev.cactusstack.gateway.scheduling.PlacementClient;
-import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.gateway.site.UpstreamChange;
-import dev.cactusstack.gateway.site.UpstreamHeaders;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.UpstreamRegistration;
-import java.io.OutputStream;
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -39,46 +29,18 @@
   private static final int STRONG = 6_000;
   private static final int WEAK = 600;
 
-  private final VirtualTimeLoop time = new VirtualTimeLoop();
-  private final FakeStore store = new FakeStore();
-  private final EventLog log = new EventLog(OutputStream.nullOutputStream());
-  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
-  private final UpstreamsController upstreams =
-      new UpstreamsController(time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty);
-  private final LocalSchedulers schedulers =
-      new LocalSchedulers(
-          time.loop(),
-          time::nowMs,
-          log,
-          new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
-          upstreams,
-          new UpstreamProber(TestClients.unused(time), unusedHeaders()),
-          () -> peers.isStoreConfirmed(time.nowMs()),
-          new Random(1));
-  private final PlacementClient placement =
-      new PlacementClient(
-          time.loop(), time::nowMs, log, new Link(time.loop(), log), peers, schedulers, "self", 0);
+  private final PlacementFixture host = new PlacementFixture();
   private final List<PlacementDecision> decisions = new ArrayList<>();
 
-  private static UpstreamHeaders unusedHeaders() {
-    return (UpstreamHeaders)
-        Proxy.newProxyInstance(
-            UpstreamHeaders.class.getClassLoader(),
-            new Class<?>[] {UpstreamHeaders.class},
-            (proxy, method, args) -> {
-              throw new AssertionError("no message is expected in this test");
-            });
-  }
-
   private void register(String name, Address address, int milliCores) {
-    peers.recordStart(
-        new HostRegistration(name, "dc", address, address, milliCores, 1), time.nowMs());
+    host.peers.recordStart(
+        new HostRegistration(name, "dc", address, address, milliCores, 1), host.time.nowMs());
   }
 
   private void receiveHeartbeat(String name, long counter, StoreContact contact) {
-    peers.mergeHeartbeats(
+    host.peers.mergeHeartbeats(
         List.of(new HeartbeatState(PeerTable.hash(name), 1, counter, false, contact, true)),
-        time.nowMs());
+        host.time.nowMs());
   }
 
   private static UpstreamRegistration upstream(String id) {
@@ -92,10 +54,10 @@
     receiveHeartbeat("scheduler", 1, StoreContact.UNKNOWN);
     var request =
         new PlacementRequest(
-            placement.nextKey(), "dc", "r", 1, 300, 300, 1_000, 0, false, Set.of());
-    placement.requestPlacement("s", request, decisions::add);
+            host.placement.nextKey(), "dc", "r", 1, 300, 300, 1_000, 0, false, Set.of());
+    host.placement.requestPlacement("s", request, decisions::add);
     var placed = new PlacementDecision.Placed(request.key(), upstream("left"));
-    placement.onMessage(new LinkMessage.DecisionMade(placed, registrationsAgeMs), SCHEDULER);
+    host.placement.onMessage(new LinkMessage.DecisionMade(placed, registrationsAgeMs), SCHEDULER);
   }
 
   private List<String> placedOn() {
@@ -114,7 +76,7 @@
   void shouldNotUseAnOldPlacementWhenThisHostCanReadNewerRegistrations() {
     receivePlacement(5_000);
     assertThat(decisions).isEmpty();
-    store
+    host.store
         .upstreamReads
         .get(0)
         .complete(new UpstreamChange(10, true, Map.of("b", Optional.of(upstream("b")))));
@@ -124,7 +86,7 @@
   @Test
   void shouldUseAnOldPlacementWhenThisHostCannotReadNewerRegistrations() {
     receivePlacement(5_000);
-    store
+    host.store
         .upstreamReads
         .get(0)
         .completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -0,0 +1,70 @@
+package dev.cactusstack.gateway.control;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.net.HttpClientSettings;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LocalSchedulers;
+import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.UpstreamProber;
+import dev.cactusstack.gateway.site.UpstreamHeaders;
+import java.io.ByteArrayOutputStream;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Random;
+
+/** The parts of a host named "self" that place requests, in virtual time and without a network. */
+final class PlacementFixture {
+  final VirtualTimeLoop time = new VirtualTimeLoop();
+  final FakeStore store = new FakeStore();
+  final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
+  final PlacementClient placement;
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final EventLog log = new EventLog(output);
+
+  PlacementFixture() {
+    var upstreams =
+        new UpstreamsController(time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty);
+    var client =
+        new HttpClient(
+            time.loop(), new HttpClientSettings(100, 100, false, 1_000, 1_000), time::nowMs);
+    var schedulers =
+        new LocalSchedulers(
+            time.loop(),
+            time::nowMs,
+            log,
+            new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
+            upstreams,
+            new UpstreamProber(client, unusedHeaders()),
+            () -> peers.isStoreConfirmed(time.nowMs()),
+            new Random(1));
+    placement =
+        new PlacementClient(
+            time.loop(),
+            time::nowMs,
+            log,
+            new Link(time.loop(), log),
+            peers,
+            schedulers,
+            "self",
+            0);
+  }
+
+  private static UpstreamHeaders unusedHeaders() {
+    return (UpstreamHeaders)
+        Proxy.newProxyInstance(
+            UpstreamHeaders.class.getClassLoader(),
+            new Class<?>[] {UpstreamHeaders.class},
+            (proxy, method, args) -> {
+              throw new AssertionError("no message is expected in this test");
+            });
+  }
+
+  String logText() {
+    log.flush();
+    return output.toString(StandardCharsets.UTF_8);
+  }
+}
