Gossip: traffic between data centres does not grow with the hosts of a data centre

Change: at most ten hosts of a data centre on average send to another one in a round. PeerTableTest keeps its bounds for 20 hosts and compares 30 with 300.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -21,6 +21,10 @@
   /** Number of hosts whose calls fail that shows an outage rather than a fault of their own. */
   private static final int MIN_FAILING_HOSTS = 3;
 
+  /** Hosts of a data centre that send to another data centre in a round, on average at most. */
+  private static final double REMOTE_SENDERS_PER_DATA_CENTRE = 10;
+
+  private static final double MAX_REMOTE_SHARE = 0.7;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final long deadAfterMs;
@@ -139,23 +143,27 @@
   }
 
   /**
-   * Chooses the receivers of a gossip message: one host in any data centre, the others in this
-   * host's data centre if there are enough, because messages within a data centre are faster and
-   * cost less.
+   * Chooses the receivers of a gossip message. Most are in this host's data centre, because
+   * messages within a data centre are faster and cost less. The more hosts a data centre has, the
+   * less often each of them sends to another one, so that the traffic between two data centres does
+   * not grow with their size.
    *
    * @param count number of hosts to choose
    * @param nowMs the current time on the same clock, in milliseconds
    * @return distinct registered hosts other than this one
    */
   public List<HostRegistration> gossipTargets(int count, long nowMs) {
-    List<HostRegistration> others = new ArrayList<>();
-    peers.values().stream()
-        .filter(p -> p.heartbeat.hostHash() != selfHash)
-        .forEach(p -> others.add(p.registration));
-    List<HostRegistration> local = others.stream().filter(this::isLocal).toList();
-    List<HostRegistration> result = randomSubset(local, count - 1);
-    others.removeAll(result);
-    result.addAll(randomSubset(others, count - result.size()));
+    List<HostRegistration> local = new ArrayList<>();
+    List<HostRegistration> remote = new ArrayList<>();
+    for (Peer p : peers.values()) {
+      if (p.heartbeat.hostHash() != selfHash) {
+        (isLocal(p.registration) ? local : remote).add(p.registration);
+      }
+    }
+    boolean crosses = random.nextDouble() * local.size() < REMOTE_SENDERS_PER_DATA_CENTRE;
+    int remoteCount = crosses && random.nextDouble() < MAX_REMOTE_SHARE ? 1 : 0;
+    List<HostRegistration> result = randomSubset(local, count - remoteCount);
+    result.addAll(randomSubset(remote, count - result.size()));
     return result;
   }
 
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -148,11 +148,11 @@
     assertThat(table.isStoreConfirmed(cluster.nowMs)).isFalse();
   }
 
-  @Test
-  void shouldChooseLocalTargetsAndOneFromAnywhereWhenThereAreSeveralDataCentres() {
+  /** Returns how many of the targets of 300 rounds are in another data centre. */
+  private static int countRemoteTargets(int hostsPerDataCentre) {
     var a = new Address("127.0.0.1", 80);
     var table = new PeerTable("near0", 3_500, new java.util.Random(3));
-    for (int i = 0; i < 20; i++) {
+    for (int i = 0; i < hostsPerDataCentre; i++) {
       table.recordStart(new HostRegistration("near" + i, "near", a, a, 600, 1), 0);
       table.recordStart(new HostRegistration("far" + i, "far", a, a, 600, 1), 0);
     }
@@ -163,7 +163,21 @@
       assertThat(targets).extracting(HostRegistration::name).doesNotContain("near0");
       remote += (int) targets.stream().filter(e -> e.dataCentre().equals("far")).count();
     }
-    assertThat(remote).isBetween(100, 220);
+    return remote;
+  }
+
+  @Test
+  void shouldChooseLocalTargetsAndOftenARemoteOneWhenThereAreSeveralDataCentres() {
+    assertThat(countRemoteTargets(20)).isBetween(100, 220);
+    assertThat(countRemoteTargets(6)).isBetween(150, 240);
+  }
+
+  /** Guards against traffic between data centres that grows with the number of their hosts. */
+  @Test
+  void shouldSendAsMuchToOtherDataCentresWhenADataCentreHasMoreHosts() {
+    int of30 = 30 * countRemoteTargets(30);
+    int of300 = 300 * countRemoteTargets(300);
+    assertThat(of300).isLessThan((int) (of30 * 1.7));
   }
 
   private static PeerTable tableWithHosts(String... names) {
