--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -161,7 +161,8 @@
       }
     }
     boolean crosses = random.nextDouble() * local.size() < REMOTE_SENDERS_PER_DATA_CENTRE;
-    int remoteCount = crosses && random.nextDouble() < MAX_REMOTE_SHARE ? 1 : 0;
+    boolean sendsRemote = !remote.isEmpty() && crosses && random.nextDouble() < MAX_REMOTE_SHARE;
+    int remoteCount = sendsRemote ? 1 : 0;
     List<HostRegistration> result = randomSubset(local, count - remoteCount);
     result.addAll(randomSubset(remote, count - result.size()));
     return result;
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -172,6 +172,14 @@
     assertThat(countRemoteTargets(6)).isBetween(150, 240);
   }
 
+  @Test
+  void shouldChooseAsManyTargetsWhenThereIsOneDataCentre() {
+    PeerTable table = tableWithHosts("self", "a", "b", "c", "d");
+    for (int round = 0; round < 50; round++) {
+      assertThat(table.gossipTargets(3, 0)).hasSize(3);
+    }
+  }
+
   /** Guards against traffic between data centres that grows with the number of their hosts. */
   @Test
   void shouldSendAsMuchToOtherDataCentresWhenADataCentreHasMoreHosts() {
