Upstreams: a slow store neither silences schedulers nor rejects first requests

Change: registrations are fresh for 1.6 s, as long as they may be used; the first read may take 0.6 s. shouldRunTheTaskAfterTheMaximumWait... read the upstreams for the first time, which now has another limit; it keeps its bound for later reads, and two tests cover the first.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.decisions.registrations.RegistrationState;
 import dev.cactusstack.decisions.registrations.StoreOutageDetector;
 import dev.cactusstack.decisions.registrations.SuspensionDetector;
@@ -33,9 +34,13 @@
  */
 public final class UpstreamsController {
   private static final long POLL_INTERVAL_MS = 700;
-  private static final long FRESHNESS_MS = 1_000;
+  private static final long FRESHNESS_MS = RegistrationAge.MAX_FOR_PLACEMENT_MS;
   private static final long POLL_AFTER_USE_MS = 4_000;
   private static final long MAX_READ_WAIT_MS = 150;
+
+  /** Longer, because without any registration no request can be placed. */
+  private static final long MAX_FIRST_READ_WAIT_MS = 600;
+
   private static final long RENEWAL_TIME_MS = 2_200;
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final long FAILURE_MEMORY_MS = 5_000;
@@ -115,7 +120,8 @@
     }
     waitingTasks.add(task);
     if (waitingTasks.size() == 1) {
-      loop.schedule(this::runWaitingTasks, MAX_READ_WAIT_MS, TimeUnit.MILLISECONDS);
+      long waitMs = isNeverRead() ? MAX_FIRST_READ_WAIT_MS : MAX_READ_WAIT_MS;
+      loop.schedule(this::runWaitingTasks, waitMs, TimeUnit.MILLISECONDS);
     }
     read();
   }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -80,11 +80,52 @@
 
   @Test
   void shouldRunTheTaskAfterTheMaximumWaitWhenTheStoreDoesNotRespond() {
-    runTask();
+    controller.runWhenFresh(() -> taskRuns++);
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    time.run(RegistrationAge.MAX_FOR_PLACEMENT_MS);
+    controller.runWhenFresh(() -> taskRuns++);
+    assertThat(taskRuns).isEqualTo(1);
     time.run(200);
+    assertThat(taskRuns).isEqualTo(2);
+  }
+
+  /**
+   * Guards against requests that are rejected while a slow store is about to tell the upstreams.
+   */
+  @Test
+  void shouldWaitLongerForTheFirstReadWhenTheStoreIsSlow() {
+    runTask();
+    time.run(400);
+    assertThat(taskRuns).isZero();
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
     assertThat(taskRuns).isEqualTo(1);
   }
 
+  @Test
+  void shouldRunTheTaskWithoutUpstreamsWhenTheFirstReadTakesTooLong() {
+    runTask();
+    time.run(650);
+    assertThat(taskRuns).isEqualTo(1);
+  }
+
+  /** Guards against a scheduler that does not respond in time because each read takes 400 ms. */
+  @Test
+  void shouldRunTasksImmediatelyWhenItPollsASlowStore() {
+    runTask();
+    time.run(400);
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    int call = 1;
+    for (int i = 0; i < 8; i++) {
+      time.run(400);
+      int runsBefore = taskRuns;
+      runTask();
+      assertThat(taskRuns).isEqualTo(runsBefore + 1);
+      if (call < store.upstreamReads.size() && i % 2 == 1) {
+        completeRead(call++, change(10 + call, false));
+      }
+    }
+  }
+
   @Test
   void shouldStopPollingWhenNoLongerInUse() {
     runTask();
