--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/Replay.java
@@ -231,11 +231,7 @@
       for (; next < arrivals.size() && arrivals.get(next).atMs <= now; next++) {
         var key = new PlacementKey(1 + next % HOSTS, next);
         asked.put(key, arrivals.get(next));
-        verdicts.addAll(
-            scheduler.submit(
-                new PlacementRequest(
-                    key, "dc", "r", 1, OBJECTIVE_MS, OBJECTIVE_MS, DEADLINE_MS, 0, false, Set.of()),
-                now));
+        verdicts.addAll(scheduler.submit(request(key, 0, false, Set.of()), now));
       }
       for (RunningAttempt j :
           second == SecondAttempt.NONE ? List.<RunningAttempt>of() : List.copyOf(running)) {
@@ -245,20 +241,7 @@
           long passed = now - j.arrival.atMs;
           boolean spare = second == SecondAttempt.HEDGE;
           Set<String> tried = Set.of("u" + j.upstream);
-          verdicts.addAll(
-              scheduler.submit(
-                  new PlacementRequest(
-                      key,
-                      "dc",
-                      "r",
-                      1,
-                      OBJECTIVE_MS,
-                      Math.max(0, OBJECTIVE_MS - passed),
-                      Math.max(0, DEADLINE_MS - passed),
-                      0,
-                      spare,
-                      tried),
-                  now));
+          verdicts.addAll(scheduler.submit(request(key, passed, spare, tried), now));
         }
       }
       if (now % 20 == 0) {
@@ -282,6 +265,22 @@
     return tally.outcome();
   }
 
+  /** Creates a request whose caller has already waited for some time. */
+  private static PlacementRequest request(
+      PlacementKey key, long waitedMs, boolean hedge, Set<String> tried) {
+    return new PlacementRequest(
+        key,
+        "dc",
+        "r",
+        1,
+        OBJECTIVE_MS,
+        Math.max(0, OBJECTIVE_MS - waitedMs),
+        Math.max(0, DEADLINE_MS - waitedMs),
+        0,
+        hedge,
+        tried);
+  }
+
   /** Reports a refusal and requests another upstream for the request. */
   private List<PlacementDecision> retryRefused(
       Scheduler scheduler,
@@ -303,20 +302,7 @@
     Arrival arrival = asked.get(key);
     asked.put(retryKey, arrival);
     long passed = now - arrival.atMs;
-    decisions.addAll(
-        scheduler.submit(
-            new PlacementRequest(
-                retryKey,
-                "dc",
-                "r",
-                1,
-                OBJECTIVE_MS,
-                Math.max(0, OBJECTIVE_MS - passed),
-                Math.max(0, DEADLINE_MS - passed),
-                0,
-                false,
-                tried),
-            now));
+    decisions.addAll(scheduler.submit(request(retryKey, passed, false, tried), now));
     return decisions;
   }
 
