review/4: the loss of all machines that watch the configuration leaves the others with the old one

Nine of 18 machines watch, three in each zone. When these nine lose power together right before a change, the others learn of it only when one of them is back or after PEER_TIMEOUT_MS.

--- a/review/standins/review/Server.java
+++ b/review/standins/review/Server.java
@@ -167,7 +167,7 @@
     respond(
         out,
         "200 OK",
-        "Cactusstack-Request-Id: " + requestId + "\r\nCactusstack-Response-Seal: seal." + requestId + "." + body.length + "\r\n" + load(),
+        "Cactusstack-Request-Id: " + requestId + "\r\nCactusstack-Response-Seal: seal." + requestId + "." + body.length + "\r\nServer-Service: " + service + "\r\n" + load(),
         body);
   }
 
--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -13,8 +13,10 @@
 import java.util.Base64;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -32,6 +34,7 @@
   private final Map<String, TreeMap<String, String>> tables = new HashMap<>();
   private final Deque<Change> history = new ArrayDeque<>();
   private final Map<String, Long> discarded = new HashMap<>();
+  private final Map<String, Set<Socket>> waiting = new HashMap<>();
   private long ver;
   int goneAnswers;
 
@@ -100,7 +103,7 @@
       Http.Message m;
       while ((m = Http.read(in)) != null) {
         Thread.sleep(ANSWER_MS);
-        String[] statusAndBody = answer(m);
+        String[] statusAndBody = answer(m, s);
         byte[] body = statusAndBody[1].getBytes(StandardCharsets.UTF_8);
         out.write(
             Http.bytes(
@@ -114,7 +117,7 @@
     }
   }
 
-  private synchronized String[] answer(Http.Message m) throws InterruptedException {
+  private synchronized String[] answer(Http.Message m, Socket s) throws InterruptedException {
     String target = m.target();
     int q = target.indexOf('?');
     String path = q < 0 ? target : target.substring(0, q);
@@ -130,7 +133,7 @@
       case "/v1/rows-get":
         return rows(query);
       case "/v1/rows-feed":
-        return feed(query);
+        return feed(query, s);
       default:
         return new String[] {"404", "{}"};
     }
@@ -161,7 +164,28 @@
     };
   }
 
-  private String[] feed(Map<String, String> query) throws InterruptedException {
+  /** Counts the feeds of a table that wait for a change, on connections that are still open. */
+  synchronized int watching(String table) {
+    int open = 0;
+    for (Socket s : waiting.getOrDefault(table, Set.of())) {
+      try {
+        s.setSoTimeout(1);
+        open += s.getInputStream().read() < 0 ? 0 : 1;
+      } catch (java.net.SocketTimeoutException e) {
+        open++;
+      } catch (IOException e) {
+        // Reset by the host.
+      }
+      try {
+        s.setSoTimeout(0);
+      } catch (IOException e) {
+        // Closed.
+      }
+    }
+    return open;
+  }
+
+  private String[] feed(Map<String, String> query, Socket s) throws InterruptedException {
     String table = query.get("table");
     long after = Long.parseLong(query.get("after"));
     long waitMs = Math.min(30_000, Long.parseLong(query.getOrDefault("waitMs", "0")));
@@ -185,7 +209,13 @@
       if (!found.isEmpty() || nowMs >= endMs) {
         return new String[] {"200", "{\"rows\":[" + String.join(",", found) + "]" + end()};
       }
-      wait(Math.max(1, endMs - nowMs));
+      Set<Socket> sockets = waiting.computeIfAbsent(table, t -> new HashSet<>());
+      sockets.add(s);
+      try {
+        wait(Math.max(1, endMs - nowMs));
+      } finally {
+        sockets.remove(s);
+      }
     }
   }
 }
