--- a/review/standins/review/Directory.java
+++ b/review/standins/review/Directory.java
@@ -42,7 +42,7 @@
     List<Host> hosts = new ArrayList<>();
     for (int i = 0; i < HOSTS; i++) {
       String zone = "zone-" + (char) ('a' + i % 3);
-      hosts.add(new Host(root, folder, "edge-" + zone + "-" + (i / 3 + 1), zone, store));
+      hosts.add(new Host(root, folder, "edge-" + zone + "-" + (i / 3 + 1), zone, store.address()));
     }
     for (Host h : hosts) {
       h.start();
--- a/review/standins/review/Host.java
+++ b/review/standins/review/Host.java
@@ -25,7 +25,7 @@
   private final File log;
   private Process process;
 
-  Host(Path root, Path folder, String name, String zone, Store store) throws IOException {
+  Host(Path root, Path folder, String name, String zone, String storeAddress) throws IOException {
     this.root = root;
     this.name = name;
     this.log = folder.resolve(name + ".log").toFile();
@@ -47,7 +47,7 @@
     values.put("listenAddrs.readiness|json", Json.quote(address("readiness")));
     values.put("listenAddrs.directory|json", Json.quote(address("directory")));
     values.put("internalPortRange|json", "[" + ports.get("link") + "," + (ports.get("link") + 1) + "]");
-    values.put("platform.address|json", Json.quote(store.address()));
+    values.put("platform.address|json", Json.quote(storeAddress));
     values.put("limits.cpuFraction|json", "0.6");
     values.put("limits.cpuCores|json", "1");
     values.put("contractParams|json", Site.BOUNDS);
--- a/review/standins/review/Readers.java
+++ b/review/standins/review/Readers.java
@@ -47,7 +47,7 @@
     List<Host> hosts = new ArrayList<>();
     for (int i = 0; i < 18; i++) {
       String zone = "zone-" + (char) ('a' + i % 3);
-      hosts.add(new Host(root, folder, "edge-" + zone + "-" + (i / 3 + 1), zone, store));
+      hosts.add(new Host(root, folder, "edge-" + zone + "-" + (i / 3 + 1), zone, store.address()));
     }
     for (Host h : hosts) {
       h.start();
--- a/review/standins/review/Site.java
+++ b/review/standins/review/Site.java
@@ -40,7 +40,7 @@
   static List<Host> startHosts(Path root, Path folder, Store store, int count) throws Exception {
     List<Host> hosts = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      Host h = new Host(root, folder, "edge-zone-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i), store);
+      Host h = new Host(root, folder, "edge-zone-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i), store.address());
       h.start();
       hosts.add(h);
     }
