--- a/review/standins/review/Directory.java
+++ b/review/standins/review/Directory.java
@@ -62,10 +62,11 @@
       Threads.start("asks " + h.name, () -> ask(h));
     }
     double t0 = Record.now();
-    // roll_term: SIGTERM to one machine a second; its process is started again when it ended.
+    // roll_term: SIGTERM to one machine a second, zone after zone from zone-c on; its process is
+    // started again when it ended.
     List<Thread> restarts = new ArrayList<>();
     for (int i = 0; i < HOSTS; i++) {
-      Host h = hosts.get(i);
+      Host h = hosts.get(2 - i / 6 + i % 6 * 3);
       if (h == lost) {
         continue;
       }
@@ -79,7 +80,7 @@
         h.start();
         startedAt.put(h, Record.now());
       }));
-      if (i == 3 && trouble) {
+      if (i == 1 && trouble) {
         // The machine is lost, with no SIGTERM, and doesn't come back.
         startedAt.remove(lost);
         lost.signal("KILL");
