--- a/review/standins/review/Broken.java
+++ b/review/standins/review/Broken.java
@@ -17,8 +17,8 @@
  * middle of an answer; the client gets the first part as a complete success.
  */
 public final class Broken {
-  private static final int SERVERS = 7;
-  private static final int UPLOAD_BYTES = 6 << 20;
+  private static final int SERVERS = 9;
+  private static final int UPLOAD_BYTES = Integer.getInteger("upload", 6 << 20);
   private static final double CALM_S = 4;
   private static final double MOST_S = 40;
 
@@ -74,7 +74,7 @@
     Process p =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-Xmx64m", "-Drcv=" + Integer.getInteger("rcv", 65_536), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
                 "-cp", System.getProperty("java.class.path"), "review.BrokenServer", id)
             .redirectErrorStream(true)
             .start();
@@ -85,7 +85,7 @@
         "servers",
         id,
         "{\"service\":\"u\",\"address\":\"127.0.0.1:" + port
-            + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"concurrency\":2,\"state\":\"ready\","
+            + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"concurrency\":4,\"state\":\"ready\","
             + "\"warmupLeftS\":0,\"sequence\":1,\"born\":" + System.currentTimeMillis() + "}");
     Threads.start("output of " + id, () -> {
       String line;
--- a/review/standins/review/BrokenServer.java
+++ b/review/standins/review/BrokenServer.java
@@ -15,8 +15,8 @@
  */
 public final class BrokenServer {
   static final int ANSWER_BYTES = 6_000;
-  private static final int SLOTS = 2;
-  private static final int QUEUE = 4;
+  private static final int SLOTS = 4;
+  private static final int QUEUE = 16;
   private static final long WORK_MS = 110;
   private static final long BETWEEN_PARTS_MS = 200;
   private static final Semaphore slots = new Semaphore(SLOTS, true);
@@ -25,7 +25,7 @@
 
   public static void main(String[] args) throws Exception {
     var listening = new ServerSocket();
-    listening.setReceiveBufferSize(65_536);
+    listening.setReceiveBufferSize(Integer.getInteger("rcv", 65_536));
     listening.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 100);
     System.out.println("port " + listening.getLocalPort());
     while (true) {
@@ -41,7 +41,7 @@
       Http.Message m;
       while ((m = Http.readHead(in)) != null) {
         if (m.target().equals("/healthz")) {
-          Server.respond(out, "200 OK", "Cactusstack-Instance-Id: " + id + "\r\nCactusstack-Server-Load: " + (SLOTS - slots.availablePermits()) + ",0,2,100\r\n", new byte[0]);
+          Server.respond(out, "200 OK", "Cactusstack-Instance-Id: " + id + "\r\nCactusstack-Server-Load: " + (SLOTS - slots.availablePermits()) + ",0," + SLOTS + ",100\r\n", new byte[0]);
           continue;
         }
         if (!m.header("Cactusstack-Expected-Instance").equals(id)) {
--- a/review/standins/review/Directory.java
+++ b/review/standins/review/Directory.java
@@ -21,6 +21,7 @@
 
   private static volatile double killedAt = Double.MAX_VALUE;
   private static volatile Host lost;
+  private static final List<Host> hosts = new ArrayList<>();
   private static int asked;
   private static int wrong;
   private static double lastWrongAt;
@@ -39,7 +40,6 @@
     for (int i = 0; i < 3; i++) {
       new Server(store, "s", "i-" + i, "zone-" + (char) ('a' + i), 2).register();
     }
-    List<Host> hosts = new ArrayList<>();
     for (int i = 0; i < HOSTS; i++) {
       String zone = "zone-" + (char) ('a' + i % 3);
       hosts.add(new Host(root, folder, "edge-" + zone + "-" + (i / 3 + 1), zone, store.address()));
@@ -110,7 +110,8 @@
         synchronized (Directory.class) {
           asked++;
           if (inTouch && m.status() == 200 && at - killedAt > CONTACT_S + 3
-              && body.contains('"' + lost.address("frontend") + '"')) {
+              && body.contains('"' + lost.address("frontend") + '"')
+              && hosts.stream().anyMatch(o -> o.isAlive() && body.contains('"' + o.address("frontend") + '"'))) {
             wrong++;
             lastWrongAt = at;
             Record.say("  names %s, which was killed %.1f s ago", lost.name, at - killedAt);
--- a/review/standins/review/History.java
+++ b/review/standins/review/History.java
@@ -12,6 +12,10 @@
  */
 public final class History {
   private static final String[] SERVICES = {"svc-a", "svc-b", "svc-d"};
+
+  /** Clients of a service at each host; enough to keep all servers of the service in use. */
+  private static final int CLIENTS = 3;
+
   private static final AtomicInteger NEXT = new AtomicInteger();
   private static volatile boolean traffic;
   private static final AtomicInteger served = new AtomicInteger();
@@ -32,7 +36,7 @@
     store.put("op", "config", "{\"version\":1,\"routes\":{" + routes + "},\"services\":{" + services + "},\"limits\":" + Site.LIMITS + "}");
     List<Server> servers = new ArrayList<>();
     for (String s : SERVICES) {
-      for (int i = 0; i < 4; i++) {
+      for (int i = 0; i < 8; i++) {
         Server server = new Server(store, s, "i-" + s + "-" + i, "zone-" + (char) ('a' + i % 3), 2);
         server.work = request -> 90;
         server.register();
@@ -43,7 +47,9 @@
     Thread.sleep(3_000);
     for (Host h : hosts) {
       for (String s : SERVICES) {
-        Threads.start("client", () -> client(h, s));
+        for (int i = 0; i < CLIENTS; i++) {
+          Threads.start("client", () -> client(h, s));
+        }
       }
     }
     double t0 = Record.now();
@@ -53,9 +59,9 @@
     Record.say("quiet begins; served %d, not served %d", served.get(), failed.get());
     Threads.sleepUntil(t0 + 12);
     if (trouble) {
-      // release, half of each service, one after the other: the new one starts first.
+      // release, three of eight servers of each service, one after the other: the new one starts first.
       for (String s : SERVICES) {
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < 3; i++) {
           Server added = new Server(store, s, "i-" + s + "-new" + i, "zone-" + (char) ('a' + i), 2);
           added.work = request -> 90;
           added.register();
@@ -63,7 +69,7 @@
           Server old = find(servers, "i-" + s + "-" + i);
           old.drain();
           Threads.start("leaving", () -> { Thread.sleep(3_000); old.end(); });
-          Thread.sleep(500);
+          Thread.sleep(1_000);
         }
       }
     }
@@ -75,7 +81,7 @@
     Threads.sleepUntil(t0 + 44);
     List<Server> leaving = new ArrayList<>();
     for (String s : SERVICES) {
-      Server b = find(servers, "i-" + s + "-2");
+      Server b = find(servers, "i-" + s + "-3");
       b.drain();
       leaving.add(b);
     }
--- a/review/standins/review/Host.java
+++ b/review/standins/review/Host.java
@@ -97,6 +97,7 @@
     words.set(0, Path.of(System.getProperty("java.home"), "bin", words.get(0)).toString());
     var builder = new ProcessBuilder(words).directory(root.toFile()).redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
     builder.environment().put("CACTUSSTACK_NODE_FILE", settings.toString());
     process = builder.start();
     Record.say("host %s started as process %d", name, process.pid());
--- a/review/standins/review/Lapsed.java
+++ b/review/standins/review/Lapsed.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -17,6 +19,7 @@
   private static final AtomicInteger ok = new AtomicInteger();
   private static volatile double removedAt = Double.MAX_VALUE;
   private static volatile double silentAt = Double.NEGATIVE_INFINITY;
+  private static final Map<String, Double> sentAt = new ConcurrentHashMap<>();
   private static volatile boolean over;
   private static final List<Double> late = java.util.Collections.synchronizedList(new ArrayList<>());
 
@@ -33,15 +36,15 @@
         "{\"version\":1,\"routes\":{\"r1\":" + Site.route("s.example", "/p/", "idempotent", 1.2, "s")
             + "},\"services\":{" + Site.service("s") + "},\"limits\":" + Site.LIMITS + "}");
     List<Server> servers = new ArrayList<>();
-    for (int i = 0; i < 12; i++) {
+    for (int i = 0; i < 14; i++) {
       Server s = new Server(store, "s", "i-" + i, "zone-" + (char) ('a' + i % 3), 2) {
         @Override
         void handle(Http.Message m, java.io.OutputStream out) throws Exception {
           double at = Record.now();
-          boolean inTouch = at > silentAt + CONTACT_S;
-          if (id.equals("i-11") && !m.header("Cactusstack-Request-Id").isEmpty() && at > removedAt + DRAIN_S && inTouch) {
+          boolean inTouch = sentAt.getOrDefault(m.header("Cactusstack-Request-Id"), 0.0) > silentAt + CONTACT_S;
+          if (id.equals("i-13") && !m.header("Cactusstack-Request-Id").isEmpty() && at > removedAt + DRAIN_S && inTouch) {
             late.add(at - removedAt);
-            Record.say("request %s reaches i-11 %.2f s after its entry was removed", m.header("Cactusstack-Request-Id"), at - removedAt);
+            Record.say("request %s reaches i-13 %.2f s after its entry was removed", m.header("Cactusstack-Request-Id"), at - removedAt);
           }
           super.handle(m, out);
         }
@@ -68,7 +71,7 @@
       }
     }
     Thread.sleep(4_000);
-    // release: half of the servers are replaced, two each 0.88 s; the new ones start first.
+    // release: six of 14 servers are replaced, two each 0.88 s; the new ones start first.
     for (int step = 0; step < 3; step++) {
       for (int i = 0; i < 2; i++) {
         Server added = new Server(store, "s", "i-new-" + (step * 2 + i), "zone-" + (char) ('a' + i), 2);
@@ -84,13 +87,13 @@
     }
     Thread.sleep(100);
     // scale_in: a server that doesn't report draining; its entry is removed, and it serves on for a while.
-    store.remove("servers", "i-11");
+    store.remove("servers", "i-13");
     removedAt = Record.now();
-    Record.say("the store acknowledges the removal of i-11");
+    Record.say("the store acknowledges the removal of i-13");
     Thread.sleep(8_000);
     over = true;
     double last = late.stream().mapToDouble(d -> d).max().orElse(0);
-    Record.tell("answered %d; %d requests from machines in touch reached i-11 later than %.0f s after its entry was removed, the last %.2f s after", ok.get(), late.size(), DRAIN_S, last);
+    Record.tell("answered %d; %d requests from machines in touch reached i-13 later than %.0f s after its entry was removed, the last %.2f s after", ok.get(), late.size(), DRAIN_S, last);
     return late.isEmpty();
   }
 
@@ -98,6 +101,7 @@
     while (!over) {
       String id = String.format("%016x", 0x6600000000000000L + next.incrementAndGet());
       try (var c = new Client(h.ip(), h.port("frontend"))) {
+        sentAt.put(id, Record.now());
         Record.say("client sends %s to %s", id, h.name);
         c.send(Client.head("GET", "s.example", "/p/x", id, 1_200, 0));
         int status = c.read(2_000).status();
--- a/review/standins/review/Site.java
+++ b/review/standins/review/Site.java
@@ -54,6 +54,11 @@
 
   /** Arguments: the root of the repository, the folder of the case. */
   static void run(String[] args, Case c) {
+    Threads.start("time limit", () -> {
+      Thread.sleep(112_000);
+      Record.tell("exit 2: not done in time");
+      System.exit(2);
+    });
     int code = 2;
     Path temporary = null;
     try {
