Upstreams: read everything when the store has discarded its history

Callers saw: after half a minute of quiet, hosts went on sending to upstreams that had announced that they leave, and sent nothing to those that had joined; without a restart nothing could have been served once the old ones had ended.

Cause: UpstreamsController compared the type of a failure that a future of the store's client reports. Such a future wraps the failure in a CompletionException, so 410 was never recognised and the same revision was asked for again and again.

On the same path, requests that waited for a read were decided by the old registrations between the refused read and the full one; they wait for the full one now.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -236,7 +236,7 @@
             onStoreRecovered();
             onStoreChange(change);
           } else {
-            onStoreFailure(failure);
+            onStoreFailure(StoreException.of(failure));
           }
         });
   }
@@ -270,12 +270,11 @@
     }
   }
 
-  private void onStoreFailure(Throwable failure) {
+  private void onStoreFailure(StoreException failure) {
     // A failed watch may have missed changes that a new watch does not deliver, so read all.
     boolean wasWatching = fullyRead;
     fullyRead = false;
-    if (failure instanceof StoreException storeException
-        && storeException.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
+    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
       log.event("configuration_history_gone").write();
       followStore();
       return;
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -42,6 +42,7 @@
   private static final long MAX_FIRST_READ_WAIT_MS = 600;
 
   private static final long RENEWAL_TIME_MS = 2_200;
+  private static final long UNKNOWN_REVISION = -1;
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final long FAILURE_MEMORY_MS = 5_000;
   private static final long FAILURE_LOG_INTERVAL_MS = 3_000;
@@ -57,7 +58,7 @@
   private final List<Runnable> waitingTasks = new ArrayList<>();
   private final SuspensionDetector suspensionDetector;
   private Runnable changeListener = () -> {};
-  private long revision = -1;
+  private long revision = UNKNOWN_REVISION;
   private long lastReadAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
   private long lastFailureAtMs = NEVER;
@@ -224,23 +225,25 @@
     readInProgress = true;
     readRequestedAtMs = clock.getAsLong();
     CompletableFuture<UpstreamChange> call =
-        revision < 0 ? store.readUpstreams() : store.readUpstreamChanges(revision);
+        revision == UNKNOWN_REVISION ? store.readUpstreams() : store.readUpstreamChanges(revision);
     call.whenComplete(
         (change, failure) -> {
           readInProgress = false;
           if (failure == null) {
             apply(change);
           } else {
-            onReadFailed(failure);
+            onReadFailed(StoreException.of(failure));
+          }
+          if (!readInProgress) {
+            runWaitingTasks();
           }
-          runWaitingTasks();
         });
   }
 
-  private void onReadFailed(Throwable failure) {
-    if (failure instanceof StoreException storeException
-        && storeException.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
-      revision = -1;
+  private void onReadFailed(StoreException failure) {
+    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
+      log.event("upstreams_history_gone").with("revision", revision).write();
+      revision = UNKNOWN_REVISION;
       read();
       return;
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -7,7 +7,8 @@
 /**
  * Persistent store of the operators' configuration and of the registrations of upstreams and hosts.
  *
- * <p>Futures complete on the host's event loop, exceptionally with a {@link StoreException}.
+ * <p>Futures complete on the host's event loop. If a call fails they complete exceptionally, and
+ * {@link StoreException#of(Throwable)} returns the reason.
  */
 public interface SiteStore {
   /**
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/StoreException.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/StoreException.java
@@ -29,6 +29,22 @@
     this.kind = Objects.requireNonNull(kind, "kind is null");
   }
 
+  /**
+   * Finds the store's failure in what a future reports. A future that depends on a call of the
+   * store wraps the failure, so that its type must not be checked without this method.
+   *
+   * @param failure the failure that a future reports
+   * @return the store's failure; of the kind {@link Kind#UNKNOWN} if there is none in the causes
+   */
+  public static StoreException of(Throwable failure) {
+    for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+      if (cause instanceof StoreException found) {
+        return found;
+      }
+    }
+    return new StoreException(Kind.UNKNOWN, String.valueOf(failure));
+  }
+
   /**
    * Returns what is known about the effect of the call.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 /** A store whose pending calls a test completes one by one. */
 final class FakeStore implements SiteStore {
@@ -17,8 +18,9 @@
   final List<CompletableFuture<UpstreamChange>> upstreamReads = new ArrayList<>();
   final List<Long> upstreamReadRevisions = new ArrayList<>();
 
-  static StoreException failure(StoreException.Kind kind) {
-    return new StoreException(kind, "test");
+  /** Returns a failure as a dependent stage of the store's call reports it, which wraps it. */
+  static CompletionException failure(StoreException.Kind kind) {
+    return new CompletionException(new StoreException(kind, "test"));
   }
 
   private static <T> CompletableFuture<T> addPending(List<CompletableFuture<T>> calls) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -264,20 +264,38 @@
     assertThat(isStale()).isTrue();
   }
 
+  /** Guards against a host that asks the feed for a discarded revision again and again. */
   @Test
   void shouldRereadAllWhenTheHistoryIsUnavailable() {
     runTask();
     completeRead(0, change(10, true, upstream("a", false, 0, 1)));
     time.run(710);
-    store
-        .upstreamReads
-        .get(1)
-        .completeExceptionally(FakeStore.failure(StoreException.Kind.HISTORY_UNAVAILABLE));
+    failWithoutHistory(1);
     assertThat(store.upstreamReadRevisions).containsExactly(-1L, 10L, -1L);
     completeRead(2, change(20, true, upstream("b", false, 0, 1)));
     assertThat(usableIds()).containsExactly("b");
   }
 
+  /** Guards against placements by the old registrations between the two reads. */
+  @Test
+  void shouldRunTheTaskOnlyAfterTheFullReadWhenTheHistoryIsUnavailable() {
+    controller.runWhenFresh(() -> taskRuns++);
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    time.run(30_000);
+    controller.runWhenFresh(() -> taskRuns++);
+    failWithoutHistory(1);
+    assertThat(taskRuns).isEqualTo(1);
+    completeRead(2, change(20, true, upstream("b", false, 0, 1)));
+    assertThat(taskRuns).isEqualTo(2);
+  }
+
+  private void failWithoutHistory(int call) {
+    store
+        .upstreamReads
+        .get(call)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.HISTORY_UNAVAILABLE));
+  }
+
   @Test
   void shouldNotPollWhenOnlyRequestsOfThisHostAreDecided() {
     controller.runWhenFresh(() -> taskRuns++);
