Gossip: a host that has just started can't take a dead host's last heartbeat for a new one

Callers saw: the directory named a dead host for up to 10.7 s while others were restarted one after another (bound 6 s); those that used the answer connected to nothing.

Cause: a process that has just started knows the counter 0 of each registered host. It took any higher counter for a sign of life, also one that had been passed on and had not increased since the host died, and passed it on for another 3.5 s to the process that was started next.

The new test in PeerTableTest (13 hosts, one restarted each second) failed before: the dead host was still named 6 s after.

Change: a heartbeat carries its age, in one byte as a rule; the first one heard of a host counts from that age. A later increase counts from its receipt as before, because in a large fleet heartbeats take seconds to spread. The format of messages between hosts has version 3.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -14,6 +14,10 @@
  * 1998): in each round a host increments its own counter and sends all counters it knows to a few
  * random hosts. A host whose counter has not increased for some time is considered dead.
  *
+ * <p>Invariant: the first counter that is received of a host is no sign of life by itself, as it
+ * may have been passed on for long. It counts from the time at which the host sent it, so hosts
+ * that start one after another do not keep a dead host alive.
+ *
  * <p>A host learns about the other hosts from the store when it starts, and from gossip later. The
  * number of messages per host and round is constant. Confined to one thread.
  */
@@ -136,7 +140,7 @@
     result.add(ownState);
     for (Peer p : peers.values()) {
       if (p.heartbeat.hostHash() != selfHash && isAlive(p, nowMs)) {
-        result.add(p.heartbeat);
+        result.add(p.heartbeat.withAge(nowMs - p.sentAtMs));
       }
     }
     return result;
@@ -213,8 +217,10 @@
         continue;
       }
       if (received.isNewerThan(known.heartbeat)) {
+        boolean first = known.lastIncreaseMs == NEVER;
+        known.sentAtMs = Math.max(known.sentAtMs, nowMs - received.ageMs());
+        known.lastIncreaseMs = first ? known.sentAtMs : nowMs;
         known.heartbeat = received;
-        known.lastIncreaseMs = nowMs;
       }
     }
   }
@@ -343,6 +349,7 @@
     private final long startRecordedMs;
     private HeartbeatState heartbeat;
     private long lastIncreaseMs = NEVER;
+    private long sentAtMs = NEVER;
 
     Peer(HostRegistration registration, HeartbeatState heartbeat, long nowMs) {
       this.registration = registration;
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -35,10 +35,12 @@
     final Map<String, PeerTable> tables = new HashMap<>();
     final Set<String> unreachable = new HashSet<>();
     final List<String> names;
+    final Map<String, Long> incarnations = new HashMap<>();
+    final SplittableRandom random;
     long nowMs;
 
     Cluster(int hosts, long seed) {
-      var random = new SplittableRandom(seed);
+      random = new SplittableRandom(seed);
       names = IntStream.range(0, hosts).mapToObj(i -> "host-" + i).toList();
       for (String n : names) {
         var t = new PeerTable(n, DEAD_AFTER_MS, random.split());
@@ -67,6 +69,15 @@
       }
     }
 
+    /** Replaces a host's table by one that has heard of no host, in a new incarnation. */
+    void restart(String name) {
+      incarnations.merge(name, 2L, (old, first) -> old + 1);
+      var table = new PeerTable(name, DEAD_AFTER_MS, random.split());
+      names.forEach(o -> table.recordStart(host(o, incarnations.getOrDefault(o, 1L)), nowMs));
+      tables.put(name, table);
+      tables.values().forEach(t -> t.recordStart(host(name, incarnations.get(name)), nowMs));
+    }
+
     Set<String> usableHostsOf(String observer) {
       return tables.get(observer).usableHosts(nowMs).stream()
           .map(HostRegistration::name)
@@ -124,6 +135,27 @@
     assertThat(t.usableHosts(40)).hasSize(2);
   }
 
+  /**
+   * Guards against a dead host that stays in the directory because each host that starts takes the
+   * heartbeat it is told for new, and passes it on to the next one.
+   */
+  @Test
+  void shouldConsiderAHostDeadWithinSixSecondsWhenOtherHostsStartOneAfterAnother() {
+    var cluster = new Cluster(13, 11);
+    cluster.run(6_000);
+    cluster.unreachable.add("host-1");
+    long deadSinceMs = cluster.nowMs;
+    for (int i = 2; i < 13; i++) {
+      cluster.restart("host-" + i);
+      cluster.run(1_000);
+      if (cluster.nowMs - deadSinceMs >= 6_000) {
+        for (String n : cluster.names.subList(2, 13)) {
+          assertThat(cluster.usableHostsOf(n)).as("%s", n).doesNotContain("host-1");
+        }
+      }
+    }
+  }
+
   @Test
   void shouldExcludeAHostWhenItAnnouncesThatItIsLeaving() {
     var cluster = new Cluster(13, 3);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -27,9 +27,14 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 2;
+  private static final int FORMAT_VERSION = 3;
   private static final int MAX_ITEMS = 1_000;
 
+  /** Unit of the age of a heartbeat; usual values take one byte. */
+  private static final long AGE_UNIT_MS = 50;
+
+  private static final long MAX_AGE_UNITS = 1_000;
+
   private LinkCodec() {}
 
   /**
@@ -175,6 +180,7 @@
       out.writeBoolNoTag(heartbeat.leaving());
       out.writeUInt32NoTag(heartbeat.storeContact().ordinal());
       out.writeBoolNoTag(heartbeat.knowsUpstreams());
+      out.writeUInt64NoTag(toAgeUnits(heartbeat.ageMs()));
     }
   }
 
@@ -200,11 +206,18 @@
               in.readUInt64(),
               in.readBool(),
               StoreContact.values()[readCount(in)],
-              in.readBool()));
+              in.readBool(),
+              readCount(in) * AGE_UNIT_MS));
     }
     return new LinkMessage.Gossip(revision, startedHosts, heartbeats);
   }
 
+  /** Rounds up, so that the age does not shrink when a heartbeat is passed on many times. */
+  private static long toAgeUnits(long ageMs) {
+    long units = (ageMs + AGE_UNIT_MS - 1) / AGE_UNIT_MS;
+    return Math.min(MAX_AGE_UNITS, Math.max(0, units));
+  }
+
   private static void writeRequest(CodedOutputStream out, PlacementRequest placementRequest)
       throws IOException {
     writeKey(out, placementRequest.key());
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -39,7 +39,7 @@
               77,
               List.of(new HostRegistration("h", "dc", ADDRESS, ADDRESS, 600, 3)),
               List.of(
-                  new HeartbeatState(-1, 9, 4, true, StoreContact.FAILING, true),
+                  new HeartbeatState(-1, 9, 4, true, StoreContact.FAILING, true, 3_450),
                   new HeartbeatState(2, 1, 1, false, StoreContact.CONFIRMED, false))),
           new LinkMessage.RequestSubmitted(
               "s",
@@ -91,6 +91,15 @@
     }
   }
 
+  /** Guards against an age that shrinks a little each time a heartbeat is passed on. */
+  @Test
+  void shouldRoundUpTheAgeOfAHeartbeat() throws IOException {
+    var state = new HeartbeatState(2, 1, 1, false, StoreContact.CONFIRMED, false, 1_701);
+    var gossip = new LinkMessage.Gossip(77, List.of(), List.of(state));
+    var decoded = (LinkMessage.Gossip) LinkCodec.decode(LinkCodec.encode(gossip));
+    assertThat(decoded.heartbeats()).containsExactly(state.withAge(1_750));
+  }
+
   @Test
   void shouldThrowOnlyIoExceptionWhenBytesAreTruncatedOrChanged() {
     var random = new SplittableRandom(3);
