Configuration: hosts read it themselves when no host that watches it is heard of

Callers saw: requests of a moved route were run by the old service up to 3.4 s after the change was acknowledged (bound 2 s), on hosts that had lost nothing, because the nine hosts that watch the configuration had lost power.

Cause: a host that is no configuration reader learns of the loss of the readers only from the failure detector (3.5 s).

Change: a host that is no reader reads the configuration once the youngest heartbeat of any reader is older than 1.3 s, and every 0.6 s while that is so.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/ConfigurationReaders.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/ConfigurationReaders.java
@@ -4,6 +4,8 @@
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Selects the hosts that read the configuration from the store; the others receive changes from
@@ -15,6 +17,24 @@
 public record ConfigurationReaders(int readersPerDataCentre) {
   private static final String RANKING_KEY = "configuration";
 
+  /**
+   * Returns the readers.
+   *
+   * @param candidates hosts that are known to be alive and to reach the store
+   * @return the readers of all data centres
+   */
+  public List<HostRegistration> readers(Collection<HostRegistration> candidates) {
+    Map<String, List<HostRegistration>> byDataCentre =
+        candidates.stream().collect(Collectors.groupingBy(HostRegistration::dataCentre));
+    return byDataCentre.values().stream().flatMap(local -> topRanked(local).stream()).toList();
+  }
+
+  private List<HostRegistration> topRanked(List<HostRegistration> local) {
+    List<String> names = local.stream().map(HostRegistration::name).toList();
+    List<String> topRanked = RendezvousHash.ranked(RANKING_KEY, names, readersPerDataCentre);
+    return local.stream().filter(host -> topRanked.contains(host.name())).toList();
+  }
+
   /**
    * Checks whether a host is a reader.
    *
--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -2,10 +2,12 @@
 
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -321,6 +323,21 @@
         .toList();
   }
 
+  /**
+   * Returns the age of the youngest heartbeat of any of several hosts.
+   *
+   * @param hosts registered hosts other than this one
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return the age in milliseconds; empty if no heartbeat of them is known
+   */
+  public OptionalLong youngestHeartbeatAgeMs(Collection<HostRegistration> hosts, long nowMs) {
+    return hosts.stream()
+        .map(host -> peers.get(hash(host.name())))
+        .filter(p -> p != null && p.sentAtMs != NEVER)
+        .mapToLong(p -> nowMs - p.sentAtMs)
+        .min();
+  }
+
   /**
    * Returns the number of registered hosts, dead or alive.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/ConfigurationReadersTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/ConfigurationReadersTest.java
@@ -32,6 +32,14 @@
     assertThat(readers(all).stream().filter(e -> e.dataCentre().equals("b"))).hasSize(3);
   }
 
+  @Test
+  void shouldReturnTheHostsThatConsiderThemselvesReaders() {
+    List<HostRegistration> all = hosts("a", 20);
+    all.addAll(hosts("b", 4));
+    all.addAll(hosts("c", 2));
+    assertThat(POLICY.readers(all)).containsExactlyInAnyOrderElementsOf(readers(all));
+  }
+
   @Test
   void shouldChooseAllWhenThereAreFew() {
     List<HostRegistration> all = hosts("a", 3);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -210,6 +210,18 @@
       return;
     }
     log.event("configuration_watch_silent").with("revision", revision).write();
+    reread();
+  }
+
+  /** Reads the configuration once, because the hosts that watch the store may all be lost. */
+  public void readWithoutReaders() {
+    if (!rereadPending) {
+      rereadPending = true;
+      reread();
+    }
+  }
+
+  private void reread() {
     store
         .readConfiguration()
         .whenComplete(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -3,6 +3,7 @@
 import dev.cactusstack.decisions.gossip.ConfigurationReaders;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.ReaderSilence;
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
@@ -14,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Collections;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -47,6 +49,8 @@
   private final Random random;
   private final Supplier<StoreContact> storeContact;
   private final BooleanSupplier knowsUpstreams;
+  private final ReaderSilence readerSilence = new ReaderSilence();
+  private boolean readerCheckPending;
   private long startedAtMs;
   private boolean registered;
 
@@ -195,9 +199,35 @@
 
   private void gossipRound() {
     configuration.updateReaderRole();
+    checkReaders();
     sendGossip(GOSSIP_FANOUT);
   }
 
+  /** Reads the configuration if no host that watches the store has been heard of lately. */
+  private void checkReaders() {
+    long now = clock.getAsLong();
+    boolean relies = now - startedAtMs >= STARTUP_SETTLE_MS && !isConfigurationReader();
+    if (!relies || readerCheckPending) {
+      return;
+    }
+    OptionalLong ageMs =
+        peers.youngestHeartbeatAgeMs(CONFIGURATION_READERS.readers(peers.reachingStore(now)), now);
+    long waitMs = readerSilence.untilReadMs(ageMs, now);
+    if (waitMs == 0) {
+      log.event("configuration_readers_silent").with("age_ms", ageMs.orElse(-1)).write();
+      readerSilence.recordRead(now);
+      configuration.readWithoutReaders();
+    } else if (waitMs < GOSSIP_INTERVAL_MS) {
+      readerCheckPending = true;
+      loop.schedule(this::checkReadersAgain, waitMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void checkReadersAgain() {
+    readerCheckPending = false;
+    checkReaders();
+  }
+
   private void sendGossip(int fanout) {
     long now = clock.getAsLong();
     List<HeartbeatState> states =
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -18,6 +18,9 @@
   final List<CompletableFuture<UpstreamChange>> upstreamReads = new ArrayList<>();
   final List<Long> upstreamReadRevisions = new ArrayList<>();
 
+  /** The hosts that a registration is confirmed with; without them it is never confirmed. */
+  List<HostRegistration> registeredHosts = List.of();
+
   /** Returns a failure as a dependent stage of the store's call reports it, which wraps it. */
   static CompletionException failure(StoreException.Kind kind) {
     return new CompletionException(new StoreException(kind, "test"));
@@ -55,12 +58,14 @@
 
   @Override
   public CompletableFuture<List<HostRegistration>> readHosts() {
-    return new CompletableFuture<>();
+    return CompletableFuture.completedFuture(registeredHosts);
   }
 
   @Override
   public CompletableFuture<HostRegistration> register(HostRegistration registration) {
-    return new CompletableFuture<>();
+    return registeredHosts.isEmpty()
+        ? new CompletableFuture<>()
+        : CompletableFuture.completedFuture(registration);
   }
 
   @Override
