Upstreams: a silent connection to the store is no outage of the store

Callers saw: requests sent to an upstream up to 4.4 s after the store had removed it, after the hosts' connections to the store had gone silent at the end of a release.

Cause: StoreOutageDetector took one failed read for an outage if the store's revision advanced less than half as fast as usual. Renewals of registrations don't advance the revision, so its rate, learnt during the release, said nothing; the upstream stayed in use as lapsed for another 2.2 s.

The new case of UpstreamsControllerTest (three reads of a release, one without a response, then the removal) failed before.

Change: an outage is assumed only after calls failed for 2.3 s, since registrations expire after several missed renewals, and if no other host reported a read meanwhile; what is missing is used for 2.6 s after the last failed call at most. A placement on it carries its age from before the outage, and a sender that saw no outage rejects it.

Tests: StoreOutageDetectorTest is rewritten, as its four cases were about the revision's rate, which is no evidence; the new ones ask for the same outcomes (outage, own path, no failure) from failed calls and reports of other hosts, and add silent connections and cuts. shouldRemoveAnUpstreamImmediatelyWhenTheStoreWasAvailableToOthers keeps its outcome; its evidence is another host's report.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -31,6 +31,13 @@
   private static final double REMOTE_SENDERS_PER_DATA_CENTRE = 10;
 
   private static final double MAX_REMOTE_SHARE = 0.7;
+
+  /** Time after an outage within which upstreams renew their registrations. */
+  private static final long OUTAGE_MEMORY_MS = 2_000;
+
+  /** Duration below which failures of all hosts are not remembered as an outage. */
+  private static final long MIN_OUTAGE_MS = 800;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final long deadAfterMs;
@@ -38,6 +45,8 @@
   private final Map<Integer, Peer> peers = new HashMap<>();
   private final int selfHash;
   private HeartbeatState ownState;
+  private long outageSinceMs = NEVER;
+  private long lastOutageAtMs = NEVER;
 
   /**
    * Creates a table without any registered host.
@@ -138,6 +147,7 @@
             ownState.leaving(),
             storeContact,
             knowsUpstreams);
+    recordOutage(nowMs);
     List<HeartbeatState> result = new ArrayList<>();
     result.add(ownState);
     for (Peer p : peers.values()) {
@@ -305,6 +315,29 @@
     return failing > 0 && failing >= needed && !isStoreConfirmed(nowMs);
   }
 
+  /**
+   * Checks whether the store seems to be unavailable to all hosts, or was until a moment ago.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return true during an outage, and for a time after one that was not just a short failure
+   */
+  public boolean wasStoreOutage(long nowMs) {
+    return isStoreOutage(nowMs) || nowMs - lastOutageAtMs < OUTAGE_MEMORY_MS;
+  }
+
+  private void recordOutage(long nowMs) {
+    if (!isStoreOutage(nowMs)) {
+      outageSinceMs = NEVER;
+      return;
+    }
+    if (outageSinceMs == NEVER) {
+      outageSinceMs = nowMs;
+    }
+    if (nowMs - outageSinceMs >= MIN_OUTAGE_MS) {
+      lastOutageAtMs = nowMs;
+    }
+  }
+
   private int countUsable(StoreContact contact, long nowMs) {
     return (int)
         usableHosts(nowMs).stream().filter(host -> stateOf(host).storeContact() == contact).count();
--- a/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
@@ -1,31 +1,38 @@
 package dev.cactusstack.decisions.registrations;
 
 /**
- * Detects whether the store was unavailable to everyone, or only to this host, between two
- * successful reads.
+ * Decides whether registrations that are missing may have expired because upstreams could not reach
+ * the store either.
  *
- * <p>Upstreams renew their registrations at a constant rate, and each renewal increases the store's
- * revision. If the revision advanced by about as much as usual while this host could not read, the
- * store was available to the upstreams, and a registration that is missing was removed on purpose.
- * If it hardly advanced, registrations may be missing because they could not be renewed. Confined
- * to one thread.
+ * <p>A registration expires when its upstream has not renewed it for several intervals. So a short
+ * series of failed calls, as after a connection went silent, expires none, and neither does a
+ * failure of this host's own path, which shows when other hosts read the store meanwhile. If no
+ * other host is heard of, both cases look alike; the registrations are then used only for a time
+ * that is counted from the last failed call. Confined to one thread.
  */
 public final class StoreOutageDetector {
-  private static final double RATE_SMOOTHING = 0.2;
-  private static final long MIN_RATE_INTERVAL_MS = 300;
+  /** Duration of a series of failed calls below which no upstream can have missed its renewals. */
+  public static final long MIN_FAILING_MS = 2_300;
 
-  /** Minimum share of the usual progress that shows that the store was available. */
-  private static final double AVAILABLE_PROGRESS_SHARE = 0.5;
+  /** Time after which a report of another host that it has read the store is no older than this. */
+  public static final long REPORT_DELAY_MS = 3_000;
+
+  /** Longest use of a missing registration after the last call that failed was sent. */
+  public static final long MAX_USE_AFTER_FAILURE_MS = 2_600;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final long renewalTimeMs;
-  private long lastRevision = -1;
-  private long lastReadAtMs;
-  private double revisionsPerMs;
-  private boolean failedSinceRead;
-  private long renewedAtMs = Long.MIN_VALUE;
+  private boolean failing;
+  private boolean readByOthers;
+  private long firstFailedAtMs = NEVER;
+  private long lastFailedAtMs = NEVER;
+  private long lastReadAtMs = NEVER;
+  private long outageBeganAtMs = NEVER;
+  private long renewedAtMs = NEVER;
 
   /**
-   * Creates a detector that has seen no read.
+   * Creates a detector that has seen no call.
    *
    * @param renewalTimeMs time after an outage within which upstreams renew their registrations, in
    *     milliseconds
@@ -34,26 +41,35 @@
     this.renewalTimeMs = renewalTimeMs;
   }
 
-  /** Records that a read of the store failed. */
-  public void recordFailure() {
-    failedSinceRead = true;
+  /**
+   * Records that a read of the store failed.
+   *
+   * @param sentAtMs when the read was sent, on a monotonic clock, in milliseconds
+   * @param othersRead whether another host reported at that time that it had lately read the store
+   */
+  public void recordFailure(long sentAtMs, boolean othersRead) {
+    if (!failing) {
+      failing = true;
+      readByOthers = false;
+      firstFailedAtMs = sentAtMs;
+    }
+    lastFailedAtMs = sentAtMs;
+    readByOthers |= othersRead && sentAtMs - firstFailedAtMs >= REPORT_DELAY_MS;
   }
 
   /**
    * Records a successful read of the store.
    *
-   * @param revision the store's revision at the read
-   * @param nowMs the current time on a monotonic clock, in milliseconds
+   * @param sentAtMs when the read was sent, on the same clock
+   * @param nowMs the current time on the same clock
    */
-  public void recordRead(long revision, long nowMs) {
-    if (!failedSinceRead) {
-      updateRate(revision, nowMs);
-    } else if (!hasAdvancedAsUsual(revision, nowMs)) {
-      renewedAtMs = nowMs + renewalTimeMs;
+  public void recordRead(long sentAtMs, long nowMs) {
+    if (failing && !readByOthers && nowMs - firstFailedAtMs >= MIN_FAILING_MS) {
+      renewedAtMs = Math.min(nowMs + renewalTimeMs, lastFailedAtMs + MAX_USE_AFTER_FAILURE_MS);
+      outageBeganAtMs = lastReadAtMs;
     }
-    failedSinceRead = false;
-    lastRevision = revision;
-    lastReadAtMs = nowMs;
+    failing = false;
+    lastReadAtMs = sentAtMs;
   }
 
   /**
@@ -66,20 +82,12 @@
     return renewedAtMs;
   }
 
-  private boolean hasAdvancedAsUsual(long revision, long nowMs) {
-    double usual = revisionsPerMs * (nowMs - lastReadAtMs);
-    return revision - lastRevision >= usual * AVAILABLE_PROGRESS_SHARE;
-  }
-
-  private void updateRate(long revision, long nowMs) {
-    long elapsedMs = nowMs - lastReadAtMs;
-    if (lastRevision < 0 || elapsedMs < MIN_RATE_INTERVAL_MS) {
-      return;
-    }
-    double observed = (revision - lastRevision) / (double) elapsedMs;
-    revisionsPerMs =
-        revisionsPerMs == 0
-            ? observed
-            : revisionsPerMs + (observed - revisionsPerMs) * RATE_SMOOTHING;
+  /**
+   * Returns when the store was last read before the last outage.
+   *
+   * @return a time on the same clock, in the distant past if there was no outage
+   */
+  public long outageBeganAtMs() {
+    return outageBeganAtMs;
   }
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/registrations/UpstreamRegistry.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/registrations/UpstreamRegistry.java
@@ -65,6 +65,17 @@
     return Optional.of(state);
   }
 
+  /**
+   * Checks whether an upstream is in use although its registration is missing.
+   *
+   * @param id the upstream's id
+   * @return true if its registration may have expired during an outage of the store
+   */
+  public boolean isLapsed(String id) {
+    Entry entry = entries.get(id);
+    return entry != null && entry.state == RegistrationState.LAPSED;
+  }
+
   /**
    * Returns the upstreams whose registration has not ended.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -254,6 +254,32 @@
     assertThat(schedulers(table)).containsExactly("idle", "self");
   }
 
+  private static void runRounds(PeerTable table, StoreContact contact, long fromMs, long toMs) {
+    for (long nowMs = fromMs; nowMs <= toMs; nowMs += ROUND_MS) {
+      table.startRound(contact, true, nowMs);
+    }
+  }
+
+  /** Registrations that expired in an outage are still missing right after it. */
+  @Test
+  void shouldRememberAnOutageOfTheStoreForAWhile() {
+    PeerTable table = tableWithHosts("self");
+    runRounds(table, StoreContact.FAILING, 0, 2_000);
+    runRounds(table, StoreContact.CONFIRMED, 2_400, 2_400);
+    assertThat(table.isStoreOutage(2_400)).isFalse();
+    assertThat(table.wasStoreOutage(2_400)).isTrue();
+    assertThat(table.wasStoreOutage(4_100)).isFalse();
+  }
+
+  /** Guards against an outage that is remembered because connections of all hosts went silent. */
+  @Test
+  void shouldNotRememberAnOutageOfTheStoreWhenItWasOneFailure() {
+    PeerTable table = tableWithHosts("self");
+    runRounds(table, StoreContact.FAILING, 0, 400);
+    runRounds(table, StoreContact.CONFIRMED, 800, 800);
+    assertThat(table.wasStoreOutage(800)).isFalse();
+  }
+
   @Test
   void shouldAllowOnlySchedulersThatKnowUpstreamsWhenTheStoreIsUnavailable() {
     PeerTable table = tableWithHosts("self", "with-upstreams", "without-upstreams", "idle");
--- a/decisions/src/test/java/dev/cactusstack/decisions/registrations/StoreOutageDetectorTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/registrations/StoreOutageDetectorTest.java
@@ -2,57 +2,100 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class StoreOutageDetectorTest {
   private static final long RENEWAL_MS = 2_000;
-  private static final long READ_INTERVAL_MS = 700;
+  private static final long POLL_INTERVAL_MS = 700;
+  private static final long CALL_TIMEOUT_MS = 1_000;
+
+  /** Time without contact after which a host that was cut off counts as in touch again. */
+  private static final long CONTACT_MS = 3_000;
 
   private final StoreOutageDetector detector = new StoreOutageDetector(RENEWAL_MS);
-  private long revision = 1_000;
   private long nowMs = 50_000;
 
-  private void readRegularly(int reads, long revisionsPerRead) {
-    for (int i = 0; i < reads; i++) {
-      nowMs += READ_INTERVAL_MS;
-      revision += revisionsPerRead;
-      detector.recordRead(revision, nowMs);
+  @BeforeEach
+  void readOnce() {
+    read();
+  }
+
+  private void read() {
+    detector.recordRead(nowMs, nowMs);
+  }
+
+  /** Calls that are rejected at once, at the interval of the polls. */
+  private void failQuickly(int calls, boolean othersRead) {
+    for (int i = 0; i < calls; i++) {
+      nowMs += POLL_INTERVAL_MS;
+      detector.recordFailure(nowMs, othersRead);
     }
+    nowMs += POLL_INTERVAL_MS;
   }
 
-  private void readAfterFailures(long elapsedMs, long revisions) {
-    detector.recordFailure();
-    nowMs += elapsedMs;
-    revision += revisions;
-    detector.recordRead(revision, nowMs);
+  @Test
+  void shouldExpectRenewalsWhenCallsFailedForLong() {
+    failQuickly(8, false);
+    read();
+    assertThat(detector.renewedAtMs()).isBetween(nowMs + 1_500, nowMs + RENEWAL_MS);
+    assertThat(detector.outageBeganAtMs()).isEqualTo(50_000);
   }
 
+  /** Guards against a silent connection that is taken for an outage, however long ago the read. */
   @Test
-  void shouldExpectRenewalsWhenTheRevisionHardlyAdvanced() {
-    readRegularly(5, 20);
-    readAfterFailures(7_000, 15);
-    assertThat(detector.renewedAtMs()).isEqualTo(nowMs + RENEWAL_MS);
+  void shouldExpectNoRenewalsWhenOneCallGotNoResponse() {
+    nowMs += 60_000;
+    detector.recordFailure(nowMs, false);
+    nowMs += CALL_TIMEOUT_MS;
+    read();
+    assertThat(detector.renewedAtMs()).isLessThan(nowMs);
   }
 
   @Test
-  void shouldExpectNoRenewalsWhenTheRevisionAdvancedAsUsual() {
-    readRegularly(5, 20);
-    readAfterFailures(7_000, 190);
+  void shouldExpectNoRenewalsWhenTwoConnectionsWereSilent() {
+    detector.recordFailure(nowMs, false);
+    nowMs += CALL_TIMEOUT_MS;
+    detector.recordFailure(nowMs, false);
+    nowMs += CALL_TIMEOUT_MS;
+    read();
     assertThat(detector.renewedAtMs()).isLessThan(nowMs);
   }
 
   @Test
-  void shouldExpectNoRenewalsWhenNoReadFailed() {
-    readRegularly(5, 20);
-    nowMs += 60_000;
-    detector.recordRead(revision + 1, nowMs);
+  void shouldExpectNoRenewalsWhenOtherHostsReadTheStoreMeanwhile() {
+    failQuickly(8, true);
+    read();
     assertThat(detector.renewedAtMs()).isLessThan(nowMs);
   }
 
+  /** The last reports of other hosts from before an outage still arrive during it. */
   @Test
-  void shouldExpectNoRenewalsWhenNothingIsKnownOfTheUsualRate() {
-    readRegularly(1, 20);
-    readAfterFailures(7_000, 0);
+  void shouldExpectRenewalsWhenOtherHostsReadTheStoreOnlyBeforeTheOutage() {
+    failQuickly(3, true);
+    failQuickly(4, false);
+    read();
+    assertThat(detector.renewedAtMs()).isGreaterThan(nowMs);
+  }
+
+  /** Guards against a data centre that was cut off from the store and hears of no other host. */
+  @Test
+  void shouldNotUseMissingRegistrationsWhenInTouchAgainAfterACut() {
+    for (long cutEndsMs = nowMs + 3_000; cutEndsMs < 60_000; cutEndsMs += 130) {
+      while (nowMs < cutEndsMs) {
+        detector.recordFailure(nowMs, false);
+        nowMs += CALL_TIMEOUT_MS;
+      }
+      read();
+      assertThat(detector.renewedAtMs()).isLessThan(cutEndsMs + CONTACT_MS);
+      nowMs += 10_000;
+    }
+  }
+
+  @Test
+  void shouldExpectNoRenewalsWhenNoReadFailed() {
+    nowMs += 60_000;
+    read();
     assertThat(detector.renewedAtMs()).isLessThan(nowMs);
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -106,12 +106,18 @@
     this.clock = clock;
     this.log = log;
     this.random = random;
+    this.peers = new PeerTable(settings.host(), PEER_TIMEOUT_MS, random);
     this.configuration =
         new ConfigurationController(loop, clock, log, store, this::readsConfiguration);
     this.upstreams =
         new UpstreamsController(
-            loop, clock, timeOfDay, log, store, configuration::activeConfiguration);
-    this.peers = new PeerTable(settings.host(), PEER_TIMEOUT_MS, random);
+            loop,
+            clock,
+            timeOfDay,
+            log,
+            store,
+            configuration::activeConfiguration,
+            () -> peers.isStoreConfirmed(clock.getAsLong()));
     this.link = new Link(loop, log);
     var self =
         new HostRegistration(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -53,6 +54,7 @@
   private final EventLog log;
   private final SiteStore store;
   private final Supplier<Optional<SiteConfiguration>> configuration;
+  private final BooleanSupplier othersReadStore;
   private final UpstreamRegistry registry = new UpstreamRegistry();
   private final StoreOutageDetector outageDetector = new StoreOutageDetector(RENEWAL_TIME_MS);
   private final List<Runnable> waitingTasks = new ArrayList<>();
@@ -76,6 +78,7 @@
    * @param log logs changes of upstreams
    * @param store the store that upstreams register in
    * @param configuration supplies the configuration in force
+   * @param othersReadStore whether another host reports that it has lately read the store
    */
   public UpstreamsController(
       EventLoop loop,
@@ -83,7 +86,8 @@
       LongSupplier timeOfDay,
       EventLog log,
       SiteStore store,
-      Supplier<Optional<SiteConfiguration>> configuration) {
+      Supplier<Optional<SiteConfiguration>> configuration,
+      BooleanSupplier othersReadStore) {
     this.loop = loop;
     this.clock = clock;
     this.timeOfDay = timeOfDay;
@@ -91,6 +95,7 @@
     this.log = log;
     this.store = store;
     this.configuration = configuration;
+    this.othersReadStore = othersReadStore;
   }
 
   /**
@@ -143,6 +148,18 @@
     return clock.getAsLong() - lastReadAtMs;
   }
 
+  /**
+   * Returns the age of what is known of an upstream.
+   *
+   * @param upstreamId the upstream's id
+   * @return milliseconds since the last successful read that found its registration was requested
+   */
+  public long ageMs(String upstreamId) {
+    return registry.isLapsed(upstreamId)
+        ? clock.getAsLong() - outageDetector.outageBeganAtMs()
+        : ageMs();
+  }
+
   /**
    * Returns whether the registrations have never been read.
    *
@@ -212,12 +229,16 @@
 
   private void poll() {
     pollScheduled = false;
-    if (clock.getAsLong() - lastUsedAtMs < POLL_AFTER_USE_MS) {
+    if (isPolling()) {
       read();
       schedulePoll();
     }
   }
 
+  private boolean isPolling() {
+    return clock.getAsLong() - lastUsedAtMs < POLL_AFTER_USE_MS;
+  }
+
   private void read() {
     if (readInProgress) {
       return;
@@ -226,21 +247,20 @@
     readRequestedAtMs = clock.getAsLong();
     CompletableFuture<UpstreamChange> call =
         revision == UNKNOWN_REVISION ? store.readUpstreams() : store.readUpstreamChanges(revision);
+    boolean othersRead = othersReadStore.getAsBoolean();
     call.whenComplete(
         (change, failure) -> {
           readInProgress = false;
           if (failure == null) {
             apply(change);
-          } else {
-            onReadFailed(StoreException.of(failure));
-          }
-          if (!readInProgress) {
             runWaitingTasks();
+          } else {
+            onReadFailed(StoreException.of(failure), othersRead);
           }
         });
   }
 
-  private void onReadFailed(StoreException failure) {
+  private void onReadFailed(StoreException failure, boolean othersRead) {
     if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
       log.event("upstreams_history_gone").with("revision", revision).write();
       revision = UNKNOWN_REVISION;
@@ -248,7 +268,7 @@
       return;
     }
     long now = clock.getAsLong();
-    outageDetector.recordFailure();
+    outageDetector.recordFailure(readRequestedAtMs, othersRead);
     if (now - lastFailureAtMs > FAILURE_LOG_INTERVAL_MS) {
       log.event("upstreams_unread")
           .with("cause", String.valueOf(failure.getMessage()))
@@ -256,6 +276,10 @@
           .write();
     }
     lastFailureAtMs = now;
+    runWaitingTasks();
+    if (isPolling() && now - readRequestedAtMs >= POLL_INTERVAL_MS) {
+      read();
+    }
   }
 
   private void runWaitingTasks() {
@@ -270,7 +294,7 @@
     revision = change.revision();
     // The response may have waited while this host was frozen, so its age counts from the request.
     lastReadAtMs = readRequestedAtMs;
-    outageDetector.recordRead(revision, now);
+    outageDetector.recordRead(readRequestedAtMs, now);
     Set<String> missing =
         change.fullSnapshot() ? new HashSet<>(registry.registeredIds()) : new HashSet<>();
     missing.removeAll(change.registrations().keySet());
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -90,6 +90,18 @@
     }
   }
 
+  /**
+   * Closes all idle connections of a pool, because they may have gone silent.
+   *
+   * @param pool the key of the connection pool
+   */
+  public void closeIdleConnections(String pool) {
+    Deque<ServerConnection> connections = idle.remove(pool);
+    if (connections != null) {
+      connections.forEach(ServerConnection::close);
+    }
+  }
+
   /**
    * Counts the connections opened so far.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -114,9 +114,11 @@
         () -> onResult.accept(!RegistrationAge.isTooOldForPlacement(upstreams.ageMs())));
   }
 
-  /** Returns the age of the registrations that decisions rest on, in milliseconds. */
-  long registrationsAgeMs() {
-    return upstreams.ageMs();
+  /** Returns the age of the registrations that a decision rests on, in milliseconds. */
+  long registrationsAgeMs(PlacementDecision decision) {
+    return decision instanceof PlacementDecision.Placed placed
+        ? upstreams.ageMs(placed.upstream().id())
+        : upstreams.ageMs();
   }
 
   private void decide(String service, PlacementRequest request) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -244,7 +244,8 @@
 
   /**
    * Handles a decision of another host. A placement that rests on old registrations is used only if
-   * nobody seems to have newer ones.
+   * nobody seems to have newer ones, or right after an outage of the store, when registrations that
+   * expired during it are not renewed yet.
    */
   private void onDecisionMade(LinkMessage.DecisionMade decided, Address from) {
     PendingRequest pendingRequest = pendingRequests.get(decided.decision().key().sequenceNumber());
@@ -252,7 +253,7 @@
     boolean tooOld =
         decided.decision() instanceof PlacementDecision.Placed
             && RegistrationAge.isTooOldForPlacement(decided.registrationsAgeMs())
-            && !peers.isStoreOutage(now);
+            && !peers.wasStoreOutage(now);
     if (!tooOld || pendingRequest == null || !from.equals(pendingRequest.scheduler)) {
       selector.clearSuspicion(from);
       handleDecision(decided.decision(), from);
@@ -329,7 +330,7 @@
     if (placementDecision.key().hostHash() != selfHash) {
       Address requester = requesters.get(placementDecision.key().hostHash());
       if (requester != null) {
-        long ageMs = schedulers.registrationsAgeMs();
+        long ageMs = schedulers.registrationsAgeMs(placementDecision);
         link.send(new LinkMessage.DecisionMade(placementDecision, ageMs), requester);
       }
       return;
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
@@ -93,6 +93,20 @@
     assertThat(placedOn()).containsExactly("left");
   }
 
+  /** Registrations that expired during an outage of the store may be used right after it. */
+  @Test
+  void shouldUseAnOldPlacementWhenTheStoreWasUnavailableUntilAMomentAgo() {
+    register("self", new Address("127.0.0.1", 8), WEAK);
+    long startMs = host.time.nowMs();
+    for (long elapsedMs = 0; elapsedMs <= 2_000; elapsedMs += 400) {
+      host.peers.startRound(StoreContact.FAILING, true, startMs + elapsedMs);
+    }
+    host.time.run(2_400);
+    host.peers.startRound(StoreContact.CONFIRMED, true, host.time.nowMs());
+    receivePlacement(5_000);
+    assertThat(placedOn()).containsExactly("left");
+  }
+
   @Test
   void shouldNotUseAnOldPlacementWhenAnotherHostHasReadTheStore() {
     register("reader", new Address("127.0.0.1", 10), WEAK);
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -27,7 +27,8 @@
 
   PlacementFixture() {
     var upstreams =
-        new UpstreamsController(time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty);
+        new UpstreamsController(
+            time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty, () -> false);
     var client =
         new HttpClient(
             time.loop(), new HttpClientSettings(100, 100, false, 1_000, 1_000), time::nowMs);
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -23,6 +23,7 @@
   private final FakeStore store = new FakeStore();
   private Set<String> evacuated = Set.of();
   private long suspendedMs;
+  private boolean othersRead;
   private final UpstreamsController controller =
       new UpstreamsController(
           time.loop(),
@@ -33,7 +34,8 @@
           () ->
               Optional.of(
                   new SiteConfiguration(
-                      1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, evacuated)));
+                      1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, evacuated)),
+          () -> othersRead);
   private int taskRuns;
 
   private static UpstreamRegistration upstream(
@@ -174,13 +176,17 @@
     for (int call = firstCall; call < firstCall + count; call++) {
       runTask();
       time.run(710);
-      store
-          .upstreamReads
-          .get(call)
-          .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+      failRead(call);
     }
   }
 
+  private void failRead(int call) {
+    store
+        .upstreamReads
+        .get(call)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
+  }
+
   @Test
   void shouldRetainAnUpstreamBrieflyWhenItsRegistrationExpiredDuringAnOutage() {
     int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
@@ -195,15 +201,43 @@
 
   /**
    * Guards against requests to an upstream that left while only this host could not reach the
-   * store: other writers continued to advance the revision.
+   * store: other hosts read it meanwhile.
    */
   @Test
   void shouldRemoveAnUpstreamImmediatelyWhenTheStoreWasAvailableToOthers() {
+    int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
+    othersRead = true;
+    failReads(call, 6);
+    runTask();
+    time.run(710);
+    completeRead(call + 6, removal(320, "a"));
+    assertThat(usableIds()).isEmpty();
+  }
+
+  /** Guards against a sender that takes a lapsed registration for one that was just read. */
+  @Test
+  void shouldReturnTheAgeOfALapsedRegistrationFromBeforeTheOutage() {
     int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
     failReads(call, 6);
     runTask();
     time.run(710);
-    completeRead(call + 6, removal(310 + 70 * 7, "a"));
+    completeRead(call + 6, removal(320, "a"));
+    assertThat(RegistrationAge.isTooOldForPlacement(controller.ageMs())).isFalse();
+    assertThat(RegistrationAge.isTooOldForPlacement(controller.ageMs("a"))).isTrue();
+  }
+
+  /**
+   * Guards against a host that takes its own connection, which went silent at the end of a release,
+   * for an outage of the store, and goes on using an upstream that was removed.
+   */
+  @Test
+  void shouldRemoveAnUpstreamImmediatelyWhenOnlyAConnectionWasSilent() {
+    int call = readWhileUpstreamsRenew(upstream("a", false, 0, 1));
+    runTask();
+    time.run(1_000);
+    failRead(call);
+    time.run(710);
+    completeRead(call + 1, removal(311, "a"));
     assertThat(usableIds()).isEmpty();
   }
 
