Responses: one without a length is complete only if the whole request was written

Callers saw: 200 with half of the upstream's body and a Content-Length that matched it, when the upstream crashed during an upload.

Cause: a reset that is found by a write closes the channel without an error event, and the end of the channel was taken for the end of a response without a length.

Of the 20 cases of the new tables in ServerConnectionTest one failed before: a response without a length while a part of the request is unsent. Three cases that stood as single tests are rows of the table now.

Change: such a response fails the exchange unless the request was written and no error was seen.

--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -25,8 +25,9 @@
  * A connection to a server.
  *
  * <p>A response is accepted only if it is complete and belongs to the current request. A response
- * to another request is skipped, and the connection is closed after the exchange. Confined to the
- * event loop.
+ * without a length ends with its connection; it is complete only if the whole request was written
+ * and no error of the connection was seen. A response to another request is skipped, and the
+ * connection is closed after the exchange. Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT_FIELD = "timeout=";
@@ -231,6 +232,11 @@
       reusable = false;
       return;
     }
+    if (!isOpen() && !requestWritten) {
+      // The response has no length, and the connection has ended under the request. A reset that
+      // the write found looks like a connection that the server closed.
+      return;
+    }
     reusable &= requestWritten && HttpUtil.isKeepAlive(r);
     readKeepAlive(r);
     var response =
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -5,15 +5,20 @@
 import dev.cactusstack.model.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ServerConnectionTest {
@@ -95,14 +100,6 @@
     assertThat(channel.isActive()).isFalse();
   }
 
-  @Test
-  void shouldBeIncompleteWhenTheResponseIsTruncated() {
-    sendRequest("1");
-    receive("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 10\r\n\r\nabc");
-    channel.close();
-    assertThat(results).singleElement().isInstanceOf(ExchangeResult.Incomplete.class);
-  }
-
   @Test
   void shouldBeIncompleteWhenTheResponseIsMalformed() {
     sendRequest("1");
@@ -111,22 +108,105 @@
     assertThat(results).singleElement().isInstanceOf(ExchangeResult.Incomplete.class);
   }
 
-  @Test
-  void shouldAcceptAResponseWithoutLengthWhenTheServerClosesTheConnection() {
+  /** The bytes of a response that a server has sent before its connection ends. */
+  private enum Sent {
+    NOTHING(""),
+    PART_OF_HEAD("HTTP/1.1 200 OK\r\nid: 1\r\n"),
+    PART_OF_LENGTH("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 10\r\n\r\nabc"),
+    WHOLE_LENGTH("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 3\r\n\r\nabc"),
+    PART_OF_CHUNK("HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\na\r\nabc"),
+    NO_LAST_CHUNK("HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+    WHOLE_CHUNKS(
+        "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+    WITHOUT_LENGTH("HTTP/1.1 200 OK\r\nid: 1\r\n\r\nabc"),
+    NO_BODY("HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n"),
+    OTHER_RESPONSE("HTTP/1.1 200 OK\r\nid: 0\r\n\r\nabc");
+
+    private final String text;
+
+    Sent(String text) {
+      this.text = text;
+    }
+  }
+
+  /** How a connection ends. */
+  private enum End {
+    CLOSED_BY_SERVER {
+      @Override
+      void apply(EmbeddedChannel channel) {
+        channel.close();
+      }
+    },
+    RESET_FOUND_BY_READ {
+      @Override
+      void apply(EmbeddedChannel channel) {
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        channel.close();
+      }
+    };
+
+    abstract void apply(EmbeddedChannel channel);
+  }
+
+  /** Every way in which a response can end with its connection, and whether it is complete. */
+  @ParameterizedTest
+  @CsvSource({
+    "NOTHING, CLOSED_BY_SERVER, false",
+    "PART_OF_HEAD, CLOSED_BY_SERVER, false",
+    "PART_OF_LENGTH, CLOSED_BY_SERVER, false",
+    "WHOLE_LENGTH, CLOSED_BY_SERVER, true",
+    "PART_OF_CHUNK, CLOSED_BY_SERVER, false",
+    "NO_LAST_CHUNK, CLOSED_BY_SERVER, false",
+    "WHOLE_CHUNKS, CLOSED_BY_SERVER, true",
+    "WITHOUT_LENGTH, CLOSED_BY_SERVER, true",
+    "NO_BODY, CLOSED_BY_SERVER, true",
+    "OTHER_RESPONSE, CLOSED_BY_SERVER, false",
+    "PART_OF_LENGTH, RESET_FOUND_BY_READ, false",
+    "WHOLE_LENGTH, RESET_FOUND_BY_READ, true",
+    "NO_LAST_CHUNK, RESET_FOUND_BY_READ, false",
+    "WITHOUT_LENGTH, RESET_FOUND_BY_READ, false",
+  })
+  void shouldBeCompleteOnlyWhenTheWholeResponseHasArrived(Sent sent, End end, boolean complete) {
     sendRequest("1");
-    receive("HTTP/1.1 200 OK\r\nid: 1\r\n\r\nabc");
-    assertThat(results).isEmpty();
-    channel.close();
-    assertThat(body(0)).isEqualTo("abc");
+    receive(sent.text);
+    end.apply(channel);
+    assertThat(results).hasSize(1);
+    assertThat(results.get(0) instanceof ExchangeResult.Response).isEqualTo(complete);
+    if (complete) {
+      assertThat(body(0)).isEqualTo(sent == Sent.NO_BODY ? "" : "abc");
+    }
   }
 
-  @Test
-  void shouldBeIncompleteWhenTheConnectionIsResetDuringAResponseWithoutLength() {
+  /**
+   * The same while a part of the request is unsent. Guards against a reset that only the write
+   * finds, after which the connection ends like one that the server closed.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "PART_OF_LENGTH, false",
+    "WHOLE_LENGTH, true",
+    "NO_LAST_CHUNK, false",
+    "WHOLE_CHUNKS, true",
+    "WITHOUT_LENGTH, false",
+    "NO_BODY, true"
+  })
+  void shouldNotEndAResponseWithItsConnectionWhenTheRequestIsNotWritten(
+      Sent sent, boolean complete) {
+    channel.pipeline().addFirst(new UnfinishedWrites());
     sendRequest("1");
-    receive("HTTP/1.1 200 OK\r\nid: 1\r\n\r\nabc");
-    channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+    receive(sent.text);
     channel.close();
-    assertThat(results).singleElement().isInstanceOf(ExchangeResult.Incomplete.class);
+    assertThat(results).hasSize(1);
+    assertThat(results.get(0) instanceof ExchangeResult.Response).isEqualTo(complete);
+  }
+
+  /** A peer that reads nothing, so that no write succeeds before the connection ends. */
+  private static final class UnfinishedWrites extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+      ReferenceCountUtil.release(msg);
+      ctx.channel().closeFuture().addListener(f -> promise.tryFailure(new IOException("reset")));
+    }
   }
 
   @Test
