Gossip: heartbeats that waited while this host was stopped don't keep a dead host alive

Change: after a gap of over a second between two rounds, by the monotonic clock or the time of day, other hosts count as dead unless they are heard of within 2 s. A step of the time of day looks the same and only shortens the time for once.

Evidence: the two new cases of HostsControllerTest failed without the call that shortens the time. No run with real processes showed the fault.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -237,6 +237,22 @@
     }
   }
 
+  /**
+   * Considers other hosts dead sooner unless they are heard of again, because this host was
+   * stopped, and heartbeats that waited meanwhile look new.
+   *
+   * @param remainingMs time from now without an increase of its counter after which a host is
+   *     considered dead, in milliseconds
+   * @param nowMs the current time on the same clock, in milliseconds
+   */
+  public void expireUnlessHeardOf(long remainingMs, long nowMs) {
+    long latestIncreaseMs = nowMs - deadAfterMs + remainingMs;
+    for (Peer p : peers.values()) {
+      p.lastIncreaseMs = Math.min(p.lastIncreaseMs, latestIncreaseMs);
+      p.sentAtMs = Math.min(p.sentAtMs, latestIncreaseMs);
+    }
+  }
+
   /** Marks this host as leaving, which the following rounds announce to the other hosts. */
   public void markLeaving() {
     ownState =
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -131,6 +131,7 @@
         new HostsController(
             loop,
             clock,
+            timeOfDay,
             log,
             store,
             peers,
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.ReaderSilence;
 import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.registrations.SuspensionDetector;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
@@ -36,10 +37,16 @@
   private static final long REGISTER_RETRY_MS = 400;
   private static final long STARTUP_SETTLE_MS = 1_500;
   private static final int CONFIGURATION_FANOUT = 3;
+
+  /** Time that this host did not run above which messages that waited may be too old. */
+  private static final long MIN_STOP_MS = 1_000;
+
+  private static final long EXPIRY_AFTER_STOP_MS = 2_000;
   private static final ConfigurationReaders CONFIGURATION_READERS = new ConfigurationReaders(3);
 
   private final EventLoop loop;
   private final LongSupplier clock;
+  private final LongSupplier timeOfDay;
   private final EventLog log;
   private final SiteStore store;
   private final PeerTable peers;
@@ -50,6 +57,8 @@
   private final Supplier<StoreContact> storeContact;
   private final BooleanSupplier knowsUpstreams;
   private final ReaderSilence readerSilence = new ReaderSilence();
+  private final SuspensionDetector suspensionDetector;
+  private long lastRoundAtMs;
   private boolean readerCheckPending;
   private long startedAtMs;
   private boolean registered;
@@ -59,6 +68,8 @@
    *
    * @param loop the event loop that all methods run on
    * @param clock a monotonic clock, in milliseconds
+   * @param timeOfDay the time of day, in milliseconds, which also counts while the machine is
+   *     suspended
    * @param log logs changes
    * @param store the store that hosts register in
    * @param peers membership state of all hosts
@@ -72,6 +83,7 @@
   public HostsController(
       EventLoop loop,
       LongSupplier clock,
+      LongSupplier timeOfDay,
       EventLog log,
       SiteStore store,
       PeerTable peers,
@@ -83,6 +95,8 @@
       BooleanSupplier knowsUpstreams) {
     this.loop = loop;
     this.clock = clock;
+    this.timeOfDay = timeOfDay;
+    this.suspensionDetector = new SuspensionDetector(clock.getAsLong(), timeOfDay.getAsLong());
     this.log = log;
     this.store = store;
     this.peers = peers;
@@ -162,6 +176,7 @@
               registrations.forEach(host -> peers.recordStart(host, clock.getAsLong()));
               log.event("registered").with("hosts", registrations.size()).write();
               registered = true;
+              lastRoundAtMs = clock.getAsLong();
               gossipRound();
               loop.scheduleAtFixedRate(
                   this::gossipRound, GOSSIP_INTERVAL_MS, GOSSIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -198,11 +213,24 @@
   }
 
   private void gossipRound() {
+    distrustAfterStop();
     configuration.updateReaderRole();
     checkReaders();
     sendGossip(GOSSIP_FANOUT);
   }
 
+  /** Gives other hosts less time to be heard of if this host did not run for a while. */
+  private void distrustAfterStop() {
+    long now = clock.getAsLong();
+    boolean stopped = now - lastRoundAtMs >= GOSSIP_INTERVAL_MS + MIN_STOP_MS;
+    boolean suspended = suspensionDetector.suspendedMs(now, timeOfDay.getAsLong()) >= MIN_STOP_MS;
+    lastRoundAtMs = now;
+    if (stopped || suspended) {
+      log.event("host_was_stopped").with("cause", suspended ? "suspended" : "paused").write();
+      peers.expireUnlessHeardOf(EXPIRY_AFTER_STOP_MS, now);
+    }
+  }
+
   /** Reads the configuration if no host that watches the store has been heard of lately. */
   private void checkReaders() {
     long now = clock.getAsLong();
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/HostsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/HostsControllerTest.java
@@ -27,6 +27,9 @@
   private static final Address ANY_ADDRESS = new Address("127.0.0.1", 9);
   private static final long GOSSIP_INTERVAL_MS = 400;
 
+  /** Time after which a host that was stopped counts as in touch again. */
+  private static final long CONTACT_MS = 3_000;
+
   /** Time within which a change has to be in force on each host. */
   private static final long CHANGE_BOUND_MS = 2_000;
 
@@ -39,6 +42,7 @@
   private static final HostRegistration SELF =
       HOSTS.stream().filter(host -> !READERS.contains(host)).findFirst().orElseThrow();
 
+  private long suspendedMs;
   private final VirtualTimeLoop time = new VirtualTimeLoop();
   private final FakeStore store = new FakeStore();
   private final EventLog log = new EventLog(OutputStream.nullOutputStream());
@@ -50,6 +54,7 @@
       new HostsController(
           time.loop(),
           time::nowMs,
+          () -> time.nowMs() + suspendedMs,
           log,
           store,
           peers,
@@ -151,6 +156,34 @@
     assertThat(store.configurationReads).hasSize(2);
   }
 
+  /**
+   * Guards against a host that was stopped and names a dead host, because a heartbeat that waited
+   * until the host ran again looks new.
+   */
+  @Test
+  void shouldForgetADeadHostSoonerWhenTheProcessWasStopped() {
+    HostRegistration dead = othersThan(READERS).get(0);
+    runWithGossip(othersThan(List.of()), 8_000);
+    time.stop(5_000);
+    receiveGossip(othersThan(List.of()), 0);
+    runWithGossip(othersThan(List.of(dead)), CONTACT_MS);
+    assertThat(peers.usableHosts(time.nowMs()))
+        .contains(SELF)
+        .containsAll(READERS)
+        .doesNotContain(dead);
+  }
+
+  /** The same for a suspended machine, whose monotonic clock does not count that time. */
+  @Test
+  void shouldForgetADeadHostSoonerWhenTheMachineWasSuspended() {
+    HostRegistration dead = othersThan(READERS).get(0);
+    runWithGossip(othersThan(List.of()), 8_000);
+    suspendedMs += 5_000;
+    receiveGossip(othersThan(List.of()), 0);
+    runWithGossip(othersThan(List.of(dead)), CONTACT_MS);
+    assertThat(peers.usableHosts(time.nowMs())).containsAll(READERS).doesNotContain(dead);
+  }
+
   @Test
   void shouldNotReadTheStoreWhenOneReaderIsHeardOf() {
     runWithGossip(othersThan(List.of()), 8_000);
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/VirtualTimeLoop.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/VirtualTimeLoop.java
@@ -21,6 +21,12 @@
     return nowMs;
   }
 
+  /** Lets time pass without running anything, as while the process is stopped. */
+  void stop(long ms) {
+    nowMs += ms;
+    channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+  }
+
   void run(long ms) {
     for (long end = nowMs + ms; nowMs < end; nowMs += 10) {
       channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
