Configuration: reads of upstreams reveal changes that a silent watch does not deliver

Callers would have seen requests run by the old service after a change, when the connections of all watches to the store had gone silent.

Cause: a watch waits up to 20 s, and only a timeout shows that its connection is silent; all watches may be silent at once.

The new cases of ConfigurationControllerTest need methods that did not exist.

Change: the feed of upstreams names the store's newest revision. What no upstream, no start of a host and no known configuration explains within 0.4 s is read; so is the configuration after failed reads. A configuration is sent to other hosts only when it has changed.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -107,6 +107,16 @@
     return true;
   }
 
+  /**
+   * Checks whether a host is known to have started at a revision of the store.
+   *
+   * @param incarnation the revision at which it registered
+   * @return true if the last known start of any host has this incarnation
+   */
+  public boolean isStart(long incarnation) {
+    return peers.values().stream().anyMatch(p -> p.registration.incarnation() == incarnation);
+  }
+
   /**
    * Returns hosts that have started recently.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -108,7 +108,8 @@
     this.random = random;
     this.peers = new PeerTable(settings.host(), PEER_TIMEOUT_MS, random);
     this.configuration =
-        new ConfigurationController(loop, clock, log, store, this::readsConfiguration);
+        new ConfigurationController(
+            loop, clock, log, store, this::readsConfiguration, peers::isStart);
     this.upstreams =
         new UpstreamsController(
             loop,
@@ -118,6 +119,7 @@
             store,
             configuration::activeConfiguration,
             () -> peers.isStoreConfirmed(clock.getAsLong()));
+    upstreams.onStoreRead(configuration::onOtherRevisions, configuration::readUnwatched);
     this.link = new Link(loop, log);
     var self =
         new HostRegistration(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -9,6 +9,8 @@
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.SiteConfiguration;
 import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +22,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -30,12 +33,20 @@
  * the store and send each change to other hosts. A host that learns of a newer revision queries the
  * host that announced it, and reads the store if the change does not arrive.
  *
+ * <p>A watch is not trusted alone, because its connection may go silent: if reads of something else
+ * show that the store has changed at a revision that this host cannot explain, the configuration is
+ * read.
+ *
  * <p>Invariant: the configuration in force never reverts to an older revision. Confined to the
  * event loop.
  */
 public final class ConfigurationController {
   private static final long WATCH_TIMEOUT_MS = 20_000;
   private static final long ANNOUNCED_CHANGE_WAIT_MS = 300;
+
+  /** Longer than a change takes from the watch, or the start of a host by gossip as a rule. */
+  private static final long EXPLANATION_WAIT_MS = 400;
+
   private static final long READ_RETRY_MS = 250;
   private static final long MAX_READ_RETRY_MS = 1_500;
   private static final long UNKNOWN_REVISION = 0;
@@ -45,6 +56,8 @@
   private final EventLog log;
   private final SiteStore store;
   private final BooleanSupplier isReader;
+  private final LongPredicate isHostStart;
+  private final Set<Long> unexplainedRevisions = new HashSet<>();
   private Runnable changeListener = () -> {};
   private Consumer<ConfigurationSnapshot> snapshotListener = k -> {};
   private @Nullable SiteConfiguration activeConfiguration;
@@ -52,6 +65,7 @@
   private boolean fullyRead;
   private boolean followingPaused;
   private boolean rereadPending;
+  private boolean explanationPending;
   private boolean storeFailing;
   private long failingSinceMs;
   private long retryDelayMs = READ_RETRY_MS;
@@ -66,14 +80,21 @@
    * @param log logs changes
    * @param store the store that operators write the configuration to
    * @param isReader whether this host watches the store
+   * @param isHostStart whether a host is known to have registered at a revision of the store
    */
   public ConfigurationController(
-      EventLoop loop, LongSupplier clock, EventLog log, SiteStore store, BooleanSupplier isReader) {
+      EventLoop loop,
+      LongSupplier clock,
+      EventLog log,
+      SiteStore store,
+      BooleanSupplier isReader,
+      LongPredicate isHostStart) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.store = store;
     this.isReader = isReader;
+    this.isHostStart = isHostStart;
   }
 
   /**
@@ -213,8 +234,40 @@
     reread();
   }
 
-  /** Reads the configuration once, because the hosts that watch the store may all be lost. */
-  public void readWithoutReaders() {
+  /**
+   * Handles revisions of the store at which something other than upstreams changed. If neither the
+   * watch nor another host explains them in time, the configuration is read.
+   *
+   * @param revisions the revisions, possibly none
+   */
+  public void onOtherRevisions(Collection<Long> revisions) {
+    unexplainedRevisions.addAll(revisions);
+    if (!explanationPending && hasUnexplainedRevisions()) {
+      explanationPending = true;
+      loop.schedule(this::readIfUnexplained, EXPLANATION_WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void readIfUnexplained() {
+    explanationPending = false;
+    if (hasUnexplainedRevisions()) {
+      log.event("configuration_unexplained_change")
+          .with("revision", Collections.max(unexplainedRevisions))
+          .write();
+      readUnwatched();
+    }
+  }
+
+  private boolean hasUnexplainedRevisions() {
+    long knownRevision =
+        activeConfiguration == null ? Long.MAX_VALUE : activeConfiguration.revision();
+    unexplainedRevisions.removeIf(
+        revision -> revision <= knownRevision || isHostStart.test(revision));
+    return !unexplainedRevisions.isEmpty();
+  }
+
+  /** Reads the configuration once, because changes may not have been delivered to this host. */
+  public void readUnwatched() {
     if (!rereadPending) {
       rereadPending = true;
       reread();
@@ -308,6 +361,7 @@
     if (previous != null && change.revision() <= previous.revision()) {
       return;
     }
+    boolean newer = change.lastChangeRevision() > lastChangeRevision;
     lastChangeRevision = Math.max(lastChangeRevision, change.lastChangeRevision());
     Set<String> evacuated = new HashSet<>();
     if (previous != null && !change.fullSnapshot()) {
@@ -341,7 +395,7 @@
           .write();
       changeListener.run();
     }
-    if (previous != null || !change.fullSnapshot()) {
+    if (newer && (previous != null || !change.fullSnapshot())) {
       snapshotListener.accept(new ConfigurationSnapshot(next, lastChangeRevision));
     }
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -244,7 +244,7 @@
     if (waitMs == 0) {
       log.event("configuration_readers_silent").with("age_ms", ageMs.orElse(-1)).write();
       readerSilence.recordRead(now);
-      configuration.readWithoutReaders();
+      configuration.readUnwatched();
     } else if (waitMs < GOSSIP_INTERVAL_MS) {
       readerCheckPending = true;
       loop.schedule(this::checkReadersAgain, waitMs, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -60,6 +61,8 @@
   private final List<Runnable> waitingTasks = new ArrayList<>();
   private final SuspensionDetector suspensionDetector;
   private Runnable changeListener = () -> {};
+  private Consumer<List<Long>> otherRevisionsListener = revisions -> {};
+  private Runnable storeRegainedListener = () -> {};
   private long revision = UNKNOWN_REVISION;
   private long lastReadAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
@@ -107,6 +110,18 @@
     changeListener = listener;
   }
 
+  /**
+   * Sets the listeners for what reads tell about the rest of the store. They run on the event loop.
+   *
+   * @param otherRevisions receives after each read the revisions at which something other than
+   *     upstreams changed, possibly none
+   * @param storeRegained runs after the first read that succeeds after one that failed
+   */
+  public void onStoreRead(Consumer<List<Long>> otherRevisions, Runnable storeRegained) {
+    otherRevisionsListener = otherRevisions;
+    storeRegainedListener = storeRegained;
+  }
+
   /** Handles a change of the configuration in force. */
   public void onConfigurationChanged() {
     changeListener.run();
@@ -291,6 +306,7 @@
   private void apply(UpstreamChange change) {
     addSuspension();
     long now = clock.getAsLong();
+    boolean regained = lastFailureAtMs > lastReadAtMs;
     revision = change.revision();
     // The response may have waited while this host was frozen, so its age counts from the request.
     lastReadAtMs = readRequestedAtMs;
@@ -311,6 +327,10 @@
     missing.forEach(id -> onMissing(id, now));
     registry.forgetEnded(now);
     changeListener.run();
+    if (regained) {
+      storeRegainedListener.run();
+    }
+    otherRevisionsListener.accept(change.otherRevisions());
   }
 
   private void onAnnounced(UpstreamRegistration upstream, long now) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.Test;
 
 class ConfigurationControllerTest {
+  private static final long HOST_START = 14;
+
   private final VirtualTimeLoop time = new VirtualTimeLoop();
   private final FakeStore store = new FakeStore();
   private final List<ConfigurationSnapshot> announced = new ArrayList<>();
@@ -29,7 +31,8 @@
           time::nowMs,
           new EventLog(OutputStream.nullOutputStream()),
           store,
-          () -> isReader);
+          () -> isReader,
+          revision -> revision == HOST_START);
 
   private static ConfigurationChange change(
       long revision, boolean complete, long version, Map<String, Boolean> evacuations) {
@@ -108,6 +111,60 @@
     assertThat(version()).isEqualTo(2);
   }
 
+  /**
+   * Guards against a host that goes on with an old configuration because the connection of its
+   * watch went silent, while its reads of upstreams show that the store has changed.
+   */
+  @Test
+  void shouldReadTheStoreWhenTheWatchDoesNotExplainAChange() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    controller.onOtherRevisions(List.of(13L));
+    time.run(200);
+    assertThat(store.configurationReads).hasSize(1);
+    time.run(300);
+    assertThat(store.configurationReads).hasSize(2);
+    store.configurationReads.get(1).complete(change(13, true, 2, Map.of()));
+    assertThat(version()).isEqualTo(2);
+    controller.onOtherRevisions(List.of());
+    time.run(1_000);
+    assertThat(store.configurationReads).hasSize(2);
+  }
+
+  @Test
+  void shouldReadTheStoreAgainWhenAnUnexplainedChangeCouldNotBeRead() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    controller.onOtherRevisions(List.of(13L));
+    time.run(500);
+    store
+        .configurationReads
+        .get(1)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
+    controller.onOtherRevisions(List.of());
+    time.run(500);
+    assertThat(store.configurationReads).hasSize(3);
+  }
+
+  @Test
+  void shouldNotReadTheStoreWhenAChangeIsExplained() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    controller.onOtherRevisions(List.of(9L, 12L, HOST_START));
+    store.configurationWatches.get(0).complete(change(12, false, 2, Map.of()));
+    time.run(1_000);
+    assertThat(store.configurationReads).hasSize(1);
+  }
+
+  /** Other hosts need no datagram for a revision at which the configuration did not change. */
+  @Test
+  void shouldNotAnnounceTheConfigurationWhenOnlyTheRevisionIsNewer() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    store
+        .configurationWatches
+        .get(0)
+        .complete(new ConfigurationChange(12, 0, false, Optional.empty(), Map.of()));
+    assertThat(controller.activeConfiguration().orElseThrow().revision()).isEqualTo(12);
+    assertThat(announced).isEmpty();
+  }
+
   @Test
   void shouldRetryWithDelaysWhenTheStoreIsUnavailable() {
     for (int i = 0; i < 3; i++) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/HostsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/HostsControllerTest.java
@@ -49,7 +49,12 @@
   private final PeerTable peers = new PeerTable(SELF.name(), 3_500, new Random(1));
   private final ConfigurationController configuration =
       new ConfigurationController(
-          time.loop(), time::nowMs, log, store, () -> hosts().isConfigurationReader());
+          time.loop(),
+          time::nowMs,
+          log,
+          store,
+          () -> hosts().isConfigurationReader(),
+          peers::isStart);
   private final HostsController hosts =
       new HostsController(
           time.loop(),
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/OldPlacementTest.java
@@ -79,7 +79,7 @@
     host.store
         .upstreamReads
         .get(0)
-        .complete(new UpstreamChange(10, true, Map.of("b", Optional.of(upstream("b")))));
+        .complete(new UpstreamChange(10, true, Map.of("b", Optional.of(upstream("b"))), List.of()));
     assertThat(placedOn()).containsExactly("b");
   }
 
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.io.OutputStream;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,11 +51,11 @@
     for (UpstreamRegistration registration : registrations) {
       registrationsById.put(registration.id(), Optional.of(registration));
     }
-    return new UpstreamChange(revision, complete, registrationsById);
+    return new UpstreamChange(revision, complete, registrationsById, List.of());
   }
 
   private static UpstreamChange removal(long revision, String id) {
-    return new UpstreamChange(revision, false, Map.of(id, Optional.empty()));
+    return new UpstreamChange(revision, false, Map.of(id, Optional.empty()), List.of());
   }
 
   private List<String> usableIds() {
@@ -80,6 +81,21 @@
     assertThat(usableIds()).containsExactly("a");
   }
 
+  /** Guards against changes that are missed while this host could not reach the store. */
+  @Test
+  void shouldReportThatTheStoreIsRegainedWhenAReadSucceedsAfterAFailure() {
+    List<String> events = new ArrayList<>();
+    controller.onStoreRead(
+        revisions -> events.add("others " + revisions), () -> events.add("regained"));
+    runTask();
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    time.run(710);
+    failRead(1);
+    time.run(710);
+    completeRead(2, new UpstreamChange(13, false, Map.of(), List.of(13L, 12L)));
+    assertThat(events).containsExactly("others []", "regained", "others [13, 12]");
+  }
+
   @Test
   void shouldRunTheTaskAfterTheMaximumWaitWhenTheStoreDoesNotRespond() {
     controller.runWhenFresh(() -> taskRuns++);
