--- a/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
@@ -14,12 +14,15 @@
   /** Duration of a series of failed calls below which no upstream can have missed its renewals. */
   public static final long MIN_FAILING_MS = 2_300;
 
-  /** Time after which a report of another host that it has read the store is no older than this. */
+  /** Age that reports of other hosts' reads never reach; later ones tell of reads in between. */
   public static final long REPORT_DELAY_MS = 3_000;
 
   /** Longest use of a missing registration after the last call that failed was sent. */
   public static final long MAX_USE_AFTER_FAILURE_MS = 2_600;
 
+  /** Longest time between two failed calls of a series; a longer one may hide successful calls. */
+  private static final long MAX_GAP_MS = 2_500;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final long renewalTimeMs;
@@ -48,7 +51,7 @@
    * @param othersRead whether another host reported at that time that it had lately read the store
    */
   public void recordFailure(long sentAtMs, boolean othersRead) {
-    if (!failing) {
+    if (!failing || sentAtMs - lastFailedAtMs > MAX_GAP_MS) {
       failing = true;
       readByOthers = false;
       firstFailedAtMs = sentAtMs;
--- a/decisions/src/test/java/dev/cactusstack/decisions/registrations/StoreOutageDetectorTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/registrations/StoreOutageDetectorTest.java
@@ -52,6 +52,17 @@
     assertThat(detector.renewedAtMs()).isLessThan(nowMs);
   }
 
+  /** A host that seldom reads learns nothing about the time between its failures. */
+  @Test
+  void shouldExpectNoRenewalsWhenTheFailuresWereFarApart() {
+    detector.recordFailure(nowMs, false);
+    nowMs += 20_000;
+    detector.recordFailure(nowMs, false);
+    nowMs += CALL_TIMEOUT_MS;
+    read();
+    assertThat(detector.renewedAtMs()).isLessThan(nowMs);
+  }
+
   @Test
   void shouldExpectNoRenewalsWhenTwoConnectionsWereSilent() {
     detector.recordFailure(nowMs, false);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -361,7 +361,7 @@
     if (previous != null && change.revision() <= previous.revision()) {
       return;
     }
-    boolean newer = change.lastChangeRevision() > lastChangeRevision;
+    boolean revisionKnown = change.lastChangeRevision() > lastChangeRevision;
     lastChangeRevision = Math.max(lastChangeRevision, change.lastChangeRevision());
     Set<String> evacuated = new HashSet<>();
     if (previous != null && !change.fullSnapshot()) {
@@ -387,7 +387,8 @@
     if (rulesChanged) {
       routeMatcher = new RouteMatcher(next.routes());
     }
-    if (previous == null || rulesChanged || !previous.evacuated().equals(evacuated)) {
+    boolean changed = previous == null || rulesChanged || !previous.evacuated().equals(evacuated);
+    if (changed) {
       log.event("configuration")
           .with("version", next.version())
           .with("revision", next.revision())
@@ -395,7 +396,11 @@
           .write();
       changeListener.run();
     }
-    if (newer && (previous != null || !change.fullSnapshot())) {
+    if (changed && (previous != null || !change.fullSnapshot())) {
+      if (!revisionKnown) {
+        // A full snapshot does not tell the revision at which an evacuation was taken back.
+        lastChangeRevision = change.revision();
+      }
       snapshotListener.accept(new ConfigurationSnapshot(next, lastChangeRevision));
     }
   }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -153,6 +153,21 @@
     assertThat(store.configurationReads).hasSize(1);
   }
 
+  /** Guards against other hosts that keep a data centre out which only one host knows is back. */
+  @Test
+  void shouldAnnounceANewerRevisionWhenAFullReadShowsThatAnEvacuationWasTakenBack() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of("dc", true)));
+    controller.readUnwatched();
+    store
+        .configurationReads
+        .get(1)
+        .complete(
+            new ConfigurationChange(15, 8, true, change(8, true, 1, Map.of()).rules(), Map.of()));
+    assertThat(controller.activeConfiguration().orElseThrow().evacuated()).isEmpty();
+    assertThat(controller.lastChangeRevision()).isEqualTo(15);
+    assertThat(announced).hasSize(1);
+  }
+
   /** Other hosts need no datagram for a revision at which the configuration did not change. */
   @Test
   void shouldNotAnnounceTheConfigurationWhenOnlyTheRevisionIsNewer() {
