Upstreams: what an upstream says of itself in a response binds the host that received it

Until now a host went on sending to an upstream that had said in a response that it leaves, as long as its registration didn't, and to one that had asked for a pause.

Change: UpstreamNotices remembers for each start of an upstream whether it leaves and until when it holds this host off. The sender checks it before each request, hedge, retry and probe, whoever placed the request. A placement that is turned down uses no retry budget and is requested again at once. Reports of attempts carry the notice, so that the scheduler stops placing: for all hosts if the upstream leaves, for the host that was held off otherwise. If all upstreams hold a host off for longer than the request may wait, it is rejected at once with the time that remains. Times that are unreadable, negative or over 10 minutes are bounded, with a log line. The format of messages between hosts has version 4.

Tests: UpstreamNoticesTest (orders of notice, registration, restart, address), SchedulerTest, SenderCheckTest (another host places without knowing), UpstreamNoticesOverHttpTest (a real host on loopback, arrivals counted), PlatformHeadersTest, LinkCodecTest. With the sender's check taken out SenderCheckTest failed twice.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -104,10 +103,14 @@
     if (request.hedge()) {
       return List.of(placeHedge(request, nowMs));
     }
-    if (loads.values().stream()
-        .allMatch(upstream -> request.excludedUpstreams().contains(upstream.registration().id()))) {
+    List<UpstreamLoad> candidates = candidates(request);
+    if (candidates.isEmpty()) {
       return List.of(reject(request, NO_UPSTREAM_RETRY_AFTER_MS, nowMs));
     }
+    long heldOffMs = heldOffMs(candidates, request, nowMs);
+    if (heldOffMs > 0 && heldOffMs > maxWaitMs(request)) {
+      return List.of(new PlacementDecision.Rejected(request.key(), heldOffMs));
+    }
     var candidate = new RequestQueue.QueuedRequest(request, nowMs, 0);
     Optional<PlacementDecision> placement = tryPlace(candidate, nowMs);
     if (placement.isPresent()) {
@@ -123,6 +126,38 @@
     return List.of(new PlacementDecision.Queued(request.key()));
   }
 
+  /** Returns the upstreams that the request may ever be placed on. */
+  private List<UpstreamLoad> candidates(PlacementRequest request) {
+    return loads.values().stream()
+        .filter(upstream -> !upstream.isLeaving())
+        .filter(upstream -> !request.excludedUpstreams().contains(upstream.registration().id()))
+        .toList();
+  }
+
+  /** Returns when the first of several upstreams takes requests of the host, in milliseconds. */
+  private static long heldOffMs(
+      List<UpstreamLoad> candidates, PlacementRequest request, long nowMs) {
+    return candidates.stream()
+        .mapToLong(upstream -> upstream.heldOffMs(request.key().hostHash(), nowMs))
+        .min()
+        .orElse(0);
+  }
+
+  /**
+   * Records what an upstream has said about itself to a host.
+   *
+   * @param upstreamId the upstream's identity
+   * @param hostHash hash of the host's name
+   * @param notice what it said
+   * @param nowMs the current time on the same clock
+   */
+  public void recordNotice(String upstreamId, int hostHash, UpstreamNotice notice, long nowMs) {
+    UpstreamLoad load = loads.get(upstreamId);
+    if (load != null) {
+      load.recordNotice(hostHash, notice, nowMs);
+    }
+  }
+
   private Optional<PlacementDecision> findDecision(PlacementKey key) {
     PlacedRequest placed = placedRequests.get(key);
     UpstreamLoad load = placed == null ? null : loads.get(placed.upstreamId());
@@ -186,6 +221,7 @@
    * @return decisions on queued requests that were placed
    */
   public List<PlacementDecision> report(AttemptReport attempt, long nowMs) {
+    recordNotice(attempt.upstreamId(), attempt.key().hostHash(), attempt.notice(), nowMs);
     PlacedRequest placed = placedRequests.remove(attempt.key());
     if (placed == null) {
       return List.of();
@@ -237,6 +273,7 @@
     return upstream.slowdownAgeMs(nowMs) >= LOAD_FRESHNESS_MS
         && upstream.probeAgeMs(nowMs) >= LOAD_FRESHNESS_MS
         && upstream.hasFreeSlot(nowMs)
+        && !upstream.isLeaving()
         && !upstream.isBackingOff(nowMs)
         && !upstream.isCold(nowMs);
   }
@@ -406,7 +443,7 @@
     boolean allBackingOff =
         loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
     for (UpstreamLoad upstream : loads.values()) {
-      if (!isEligible(upstream, request.excludedUpstreams(), allBackingOff, nowMs)) {
+      if (!isEligible(upstream, request, allBackingOff, nowMs)) {
         continue;
       }
       double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
@@ -424,8 +461,12 @@
   }
 
   private boolean isEligible(
-      UpstreamLoad upstream, Set<String> excluded, boolean allBackingOff, long nowMs) {
-    if (!upstream.hasFreeSlot(nowMs) || excluded.contains(upstream.registration().id())) {
+      UpstreamLoad upstream, PlacementRequest request, boolean allBackingOff, long nowMs) {
+    if (!upstream.hasFreeSlot(nowMs)
+        || request.excludedUpstreams().contains(upstream.registration().id())) {
+      return false;
+    }
+    if (upstream.isLeaving() || upstream.heldOffMs(request.key().hostHash(), nowMs) > 0) {
       return false;
     }
     if (upstream.isCold(nowMs) && !upstream.warmupRateAllows(warmupLimit, nowMs)) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -30,6 +30,7 @@
 
   private final Map<PlacementKey, HeldSlot> heldSlots = new HashMap<>();
   private final Map<Integer, Long> lastResponseByHost = new HashMap<>();
+  private final Map<Integer, Long> heldOffUntilByHost = new HashMap<>();
   private final WarmupRateLimiter warmupRateLimiter = new WarmupRateLimiter();
   private UpstreamRegistration registration;
   private long coldUntilMs;
@@ -38,6 +39,7 @@
   private int otherSlots;
   private long otherSlotsReportedAtMs = Long.MIN_VALUE / 2;
   private long lastProbeSentAtMs = Long.MIN_VALUE / 2;
+  private boolean leaving;
   private double faultRate;
   private double refusalRate;
   private int consecutiveBackoffs;
@@ -56,6 +58,8 @@
     if (!next.isSameIncarnation(registration)) {
       heldSlots.clear();
       lastResponseByHost.clear();
+      heldOffUntilByHost.clear();
+      leaving = false;
       faultRate = 0;
       refusalRate = 0;
       consecutiveBackoffs = 0;
@@ -86,6 +90,24 @@
     return heldSlots.size() + (recentlyReported ? otherSlots : 0);
   }
 
+  /** Records what the upstream has said about itself to a host. */
+  void recordNotice(int hostHash, UpstreamNotice notice, long nowMs) {
+    leaving |= notice.leaving();
+    if (notice.holdOffMs() > 0) {
+      heldOffUntilByHost.merge(hostHash, nowMs + notice.holdOffMs(), Math::max);
+    }
+  }
+
+  /** Checks whether the upstream has said that it leaves, to any host. */
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Returns how long the upstream still wants no requests from a host, 0 if it takes them. */
+  long heldOffMs(int hostHash, long nowMs) {
+    return Math.max(0, heldOffUntilByHost.getOrDefault(hostHash, nowMs) - nowMs);
+  }
+
   boolean isBackingOff(long nowMs) {
     return nowMs < backoffUntilMs;
   }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -92,6 +92,75 @@
     assertThat(one(request(0), 40)).isNotInstanceOf(PlacementDecision.Placed.class);
   }
 
+  private static AttemptReport unused(PlacementDecision v, UpstreamNotice notice) {
+    String id = ((PlacementDecision.Placed) v).upstream().id();
+    return new AttemptReport(v.key(), id, AttemptOutcome.UNUSED, 0, Optional.empty(), notice);
+  }
+
+  private PlacementRequest requestOf(int hostHash, long leftMs) {
+    return new PlacementRequest(
+        new PlacementKey(hostHash, ++number), "dc", "r", 1, 300, 300, leftMs, 0, false, Set.of());
+  }
+
+  /** Guards against a scheduler that places on what a sender has to turn down each time. */
+  @Test
+  void shouldNotPlaceOnAnUpstreamThatHasToldAnyHostThatItLeaves() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    PlacementDecision first = one(requestOf(1, 1_000), 0);
+    scheduler.report(unused(first, new UpstreamNotice(true, 0)), 10);
+    assertThat(one(requestOf(2, 1_000), 20)).isInstanceOf(PlacementDecision.Rejected.class);
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0), upstream("b", 4, 0)), 30);
+    assertThat(placedOn(one(requestOf(2, 1_000), 40))).isEqualTo("b");
+  }
+
+  @Test
+  void shouldNotPlaceRequestsOfAHostThatIsHeldOff() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    PlacementDecision first = one(requestOf(1, 1_000), 0);
+    scheduler.report(unused(first, new UpstreamNotice(false, 20_000)), 10);
+    assertThat(placedOn(one(requestOf(2, 1_000), 20))).isEqualTo("a");
+    PlacementDecision rejected = one(requestOf(1, 1_000), 20);
+    assertThat(rejected)
+        .isInstanceOfSatisfying(
+            PlacementDecision.Rejected.class, r -> assertThat(r.retryAfterMs()).isEqualTo(19_990));
+  }
+
+  @Test
+  void shouldQueueARequestWhenTheHoldOffEndsSoon() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    PlacementDecision first = one(requestOf(1, 1_000), 0);
+    scheduler.report(unused(first, new UpstreamNotice(false, 50)), 10);
+    assertThat(one(requestOf(1, 1_000), 20)).isInstanceOf(PlacementDecision.Queued.class);
+    assertThat(scheduler.tick(55)).isEmpty();
+    assertThat(scheduler.tick(60)).hasSize(1).first().isInstanceOf(PlacementDecision.Placed.class);
+  }
+
+  /** A report that arrives again, or of an unknown placement, still tells what was said. */
+  @Test
+  void shouldLearnANoticeWhenThePlacementIsNotKnown() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    var report =
+        new AttemptReport(
+            new PlacementKey(9, 9),
+            "a",
+            AttemptOutcome.ANSWERED,
+            90,
+            Optional.empty(),
+            new UpstreamNotice(true, 0));
+    scheduler.report(report, 10);
+    assertThat(one(request(300), 20)).isInstanceOf(PlacementDecision.Rejected.class);
+  }
+
+  @Test
+  void shouldPlaceOnAnUpstreamThatLeftOnceItHasRestarted() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    scheduler.report(unused(one(request(300), 0), new UpstreamNotice(true, 0)), 10);
+    var restarted =
+        new UpstreamRegistration("a", "s", new Address("127.0.0.1", 80), "dc", 4, false, 0, 2, 0);
+    scheduler.updateUpstreams(RULE, List.of(restarted), 20);
+    assertThat(placedOn(one(request(300), 30))).isEqualTo("a");
+  }
+
   @Test
   void shouldReleaseTheSlotWhenThePlacedRequestIsCancelled() {
     scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.gateway.callers.CallerListener;
 import dev.cactusstack.gateway.callers.ForwardingContext;
 import dev.cactusstack.gateway.callers.ForwardingHandler;
@@ -19,6 +20,7 @@
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
+import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.SiteStore;
@@ -163,7 +165,8 @@
                 MAX_RESPONSE_BYTES,
                 MAX_BUFFERED_BYTES),
             clock);
-    var prober = new UpstreamProber(client, upstreamHeaders);
+    var noticeReader = new NoticeReader(clock, log, upstreamHeaders);
+    var prober = new UpstreamProber(client, upstreamHeaders, noticeReader);
     var schedulers =
         new LocalSchedulers(
             loop,
@@ -173,7 +176,8 @@
             upstreams,
             prober,
             () -> peers.isStoreConfirmed(clock.getAsLong()),
-            random);
+            random,
+            PeerTable.hash(settings.host()));
     this.placement =
         new PlacementClient(
             loop,
@@ -198,6 +202,7 @@
             upstreamHeaders,
             client,
             placement,
+            noticeReader,
             retryBudget,
             gatewayMetrics);
     Endpoints siteEndpoints = endpoints.apply(this);
@@ -205,10 +210,11 @@
     this.readiness = createPort(List.of(siteEndpoints.readiness()));
     this.directory = createPort(List.of(siteEndpoints.directory()));
     this.metrics = createPort(List.of(new MetricsHandler(gatewayMetrics)));
-    registerCounters(gatewayMetrics, store, prober);
+    registerCounters(gatewayMetrics, store, prober, noticeReader.notices());
   }
 
-  private void registerCounters(GatewayMetrics registry, SiteStore store, UpstreamProber prober) {
+  private void registerCounters(
+      GatewayMetrics registry, SiteStore store, UpstreamProber prober, UpstreamNotices notices) {
     registry.registerCounter("cactusstack_store_calls", "Calls to the store", store::callCount);
     registry.registerCounter(
         "cactusstack_store_failures", "Failed calls to the store", store::failedCallCount);
@@ -218,6 +224,14 @@
         client::openedConnections);
     registry.registerCounter(
         "cactusstack_upstream_probes", "Probes of upstreams", prober::sentProbeCount);
+    registry.registerCounter(
+        "cactusstack_upstreams_leaving_by_response",
+        "Upstreams that said in a response that they leave",
+        notices::leavingCount);
+    registry.registerCounter(
+        "cactusstack_upstream_hold_offs",
+        "Times that an upstream asked this host to send nothing for a while",
+        notices::holdOffCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
     registry.registerCounter(
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -6,6 +6,8 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.decisions.retries.HedgeDelay;
 import dev.cactusstack.gateway.net.Exchange;
 import dev.cactusstack.gateway.net.ExchangeResult;
@@ -18,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -48,6 +51,7 @@
   private final long deadlineAtMs;
   private final long objectiveAtMs;
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<String> declinedUpstreams = new HashSet<>();
   private final List<Attempt> activeAttempts = new ArrayList<>();
   private @Nullable PlacementKey pendingPlacement;
   private @Nullable Future<?> deadlineTimer;
@@ -148,6 +152,11 @@
       report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
       return;
     }
+    UpstreamNotices.Permission permission = notices().permission(p.upstream(), now());
+    if (permission != UpstreamNotices.Permission.ALLOWED) {
+      decline(p, permission);
+      return;
+    }
     if (isRetry && !tryAcquireRetryBudget()) {
       report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
       event("no_repeat").with("why", "budget").write();
@@ -159,6 +168,26 @@
     send(p);
   }
 
+  /**
+   * Returns a placement on an upstream that wants no request from this host, and requests another
+   * one. The report tells the scheduler what the upstream said. A scheduler that does not learn it
+   * gets the upstream excluded, so that the request does not go back and forth.
+   */
+  private void decline(PlacementDecision.Placed p, UpstreamNotices.Permission permission) {
+    event("upstream_declined")
+        .with("upstream", p.upstream().id())
+        .with("why", permission.name().toLowerCase(Locale.ROOT))
+        .write();
+    report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
+    boolean declinedBefore = !declinedUpstreams.add(p.upstream().id());
+    if (permission == UpstreamNotices.Permission.LEAVING || declinedBefore) {
+      triedUpstreams.add(p.upstream().id());
+    }
+    if (activeAttempts.isEmpty()) {
+      requestSlot(false);
+    }
+  }
+
   private boolean tryAcquireRetryBudget() {
     boolean allowed = context.tryAcquireRetryBudget(service);
     figures().recordRetryDecision(allowed);
@@ -240,6 +269,9 @@
             ? context.wire().reportedLoad(r.headers())
             : Optional.empty();
     AttemptOutcome end = context.attemptClassifier().classify(result);
+    if (end != AttemptOutcome.WRONG_INSTANCE && result instanceof ExchangeResult.Response r) {
+      context.noticeReader().read(a.upstream, r);
+    }
     report(a.key, a.upstream, end, now() - a.startedAtMs, load);
     figures().recordAttemptOutcome(end.label());
     if (result instanceof ExchangeResult.Incomplete
@@ -399,7 +431,12 @@
       AttemptOutcome end,
       long tookMs,
       Optional<ReportedLoad> load) {
-    context.placement().report(service, new AttemptReport(key, u.id(), end, tookMs, load));
+    UpstreamNotice notice = notices().current(u, now());
+    context.placement().report(service, new AttemptReport(key, u.id(), end, tookMs, load, notice));
+  }
+
+  private UpstreamNotices notices() {
+    return context.noticeReader().notices();
   }
 
   private RouteMetrics figures() {
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -9,6 +9,7 @@
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
+import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import io.netty.channel.EventLoop;
@@ -27,6 +28,7 @@
  * @param wire reads and writes header fields for upstreams
  * @param client sends requests to upstreams
  * @param placement assigns requests to upstreams
+ * @param noticeReader reads and remembers what upstreams say about themselves
  * @param weightedRoundRobin divides routes between several services
  * @param retryWindows retry budgets, by service
  * @param idleReuseLimits limits on the idle time of reused connections, by service
@@ -45,6 +47,7 @@
     UpstreamHeaders wire,
     HttpClient client,
     PlacementClient placement,
+    NoticeReader noticeReader,
     WeightedRoundRobin weightedRoundRobin,
     Map<String, RetryWindow> retryWindows,
     Map<String, IdleReuseLimit> idleReuseLimits,
@@ -64,6 +67,7 @@
    * @param wire reads and writes header fields for upstreams
    * @param client sends requests to upstreams
    * @param placement assigns requests to upstreams
+   * @param noticeReader reads and remembers what upstreams say about themselves
    * @param retryBudget the settings of retry budgets
    * @param figures the host's metrics
    */
@@ -75,6 +79,7 @@
       UpstreamHeaders wire,
       HttpClient client,
       PlacementClient placement,
+      NoticeReader noticeReader,
       RetryBudget retryBudget,
       GatewayMetrics figures) {
     this(
@@ -85,6 +90,7 @@
         wire,
         client,
         placement,
+        noticeReader,
         new WeightedRoundRobin(),
         new HashMap<>(),
         new HashMap<>(),
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -10,6 +10,7 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.UpstreamRegistration;
@@ -27,7 +28,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 3;
+  private static final int FORMAT_VERSION = 4;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
@@ -317,6 +318,8 @@
       out.writeStringNoTag(report.upstreamId());
       out.writeUInt32NoTag(report.outcome().ordinal());
       out.writeUInt64NoTag(report.durationMs());
+      out.writeBoolNoTag(report.notice().leaving());
+      out.writeUInt64NoTag(report.notice().holdOffMs());
       out.writeBoolNoTag(report.load().isPresent());
       if (report.load().isPresent()) {
         ReportedLoad reportedLoad = report.load().get();
@@ -336,13 +339,14 @@
       String attemptedId = in.readString();
       AttemptOutcome attemptOutcome = AttemptOutcome.values()[readCount(in)];
       long tookMs = in.readUInt64();
+      var notice = new UpstreamNotice(in.readBool(), in.readUInt64());
       Optional<ReportedLoad> load =
           in.readBool()
               ? Optional.of(
                   new ReportedLoad(
                       in.readUInt32(), in.readUInt32(), in.readUInt32(), in.readUInt32()))
               : Optional.empty();
-      reports.add(new AttemptReport(key, attemptedId, attemptOutcome, tookMs, load));
+      reports.add(new AttemptReport(key, attemptedId, attemptOutcome, tookMs, load, notice));
     }
     return new LinkMessage.AttemptsEnded(service, reports);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -38,6 +38,7 @@
   private final UpstreamProber prober;
   private final BooleanSupplier storeConfirmed;
   private final RandomGenerator random;
+  private final int selfHash;
   private final Map<String, Scheduler> schedulersByService = new HashMap<>();
   private final Map<String, Long> lastRequestAtMs = new HashMap<>();
   private Consumer<PlacementDecision> decisionListener = v -> {};
@@ -55,6 +56,7 @@
    * @param prober probes the load of upstreams
    * @param storeConfirmed whether a host has lately read the store
    * @param random source of randomness for placements
+   * @param selfHash hash of this host's name
    */
   public LocalSchedulers(
       EventLoop loop,
@@ -64,7 +66,8 @@
       UpstreamsController upstreams,
       UpstreamProber prober,
       BooleanSupplier storeConfirmed,
-      RandomGenerator random) {
+      RandomGenerator random,
+      int selfHash) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
@@ -73,6 +76,7 @@
     this.prober = prober;
     this.storeConfirmed = storeConfirmed;
     this.random = random;
+    this.selfHash = selfHash;
     upstreams.onChange(this::refreshUpstreams);
   }
 
@@ -205,9 +209,11 @@
         prober.probe(
             target,
             path,
+            now,
             load ->
                 publish(
-                    service, scheduler.recordProbeResponse(target.id(), load, clock.getAsLong())));
+                    service, scheduler.recordProbeResponse(target.id(), load, clock.getAsLong())),
+            notice -> scheduler.recordNotice(target.id(), selfHash, notice, clock.getAsLong()));
       }
     }
     if (!lastRequestAtMs.isEmpty()) {
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/NoticeReader.java
@@ -0,0 +1,84 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
+import dev.cactusstack.gateway.net.ExchangeResult;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.site.UpstreamHeaders;
+import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.OptionalDouble;
+import java.util.function.LongSupplier;
+
+/**
+ * Reads what upstreams say about themselves in their responses, and remembers it for this host.
+ * Confined to the event loop.
+ */
+public final class NoticeReader {
+  private static final int SERVICE_UNAVAILABLE = 503;
+
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final UpstreamHeaders upstreamHeaders;
+  private final UpstreamNotices notices = new UpstreamNotices();
+
+  /**
+   * Creates a reader that knows nothing of any upstream.
+   *
+   * @param clock a monotonic clock, in milliseconds
+   * @param log logs what changes
+   * @param upstreamHeaders reads the header fields of responses
+   */
+  public NoticeReader(LongSupplier clock, EventLog log, UpstreamHeaders upstreamHeaders) {
+    this.clock = clock;
+    this.log = log;
+    this.upstreamHeaders = upstreamHeaders;
+  }
+
+  /**
+   * Returns what is known.
+   *
+   * @return the notices of all upstreams to this host
+   */
+  public UpstreamNotices notices() {
+    return notices;
+  }
+
+  /**
+   * Reads a response of an upstream.
+   *
+   * @param upstream the upstream, which must be the one that responded
+   * @param response its response
+   * @return what it says about itself
+   */
+  public UpstreamNotice read(UpstreamRegistration upstream, ExchangeResult.Response response) {
+    var notice =
+        new UpstreamNotice(upstreamHeaders.isLeaving(response.headers()), holdOffMs(response));
+    if (notices.record(upstream, notice, clock.getAsLong())) {
+      log.event("upstream_notice")
+          .with("upstream", upstream.id())
+          .with("says", notice.leaving() ? "leaving" : "hold-off")
+          .with("hold_off_ms", notice.holdOffMs())
+          .with("status", response.status())
+          .write();
+    }
+    return notice;
+  }
+
+  private long holdOffMs(ExchangeResult.Response response) {
+    OptionalDouble seconds =
+        response.status() == SERVICE_UNAVAILABLE
+            ? upstreamHeaders.holdOffSeconds(response.headers())
+            : OptionalDouble.empty();
+    if (seconds.isEmpty()) {
+      return 0;
+    }
+    long holdOffMs = UpstreamNotice.toHoldOffMs(seconds.getAsDouble());
+    if (!UpstreamNotice.isValidHoldOff(seconds.getAsDouble())) {
+      log.event("hold_off_invalid")
+          .with("seconds", String.valueOf(seconds.getAsDouble()))
+          .with("used_ms", holdOffMs)
+          .write();
+    }
+    return holdOffMs;
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
@@ -1,6 +1,8 @@
 package dev.cactusstack.gateway.scheduling;
 
 import dev.cactusstack.decisions.placing.ReportedLoad;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.gateway.net.ExchangeResult;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.OutgoingRequest;
@@ -18,6 +20,7 @@
 
   private final HttpClient client;
   private final UpstreamHeaders upstreamHeaders;
+  private final NoticeReader noticeReader;
   private long sentProbeCount;
 
   /**
@@ -25,10 +28,13 @@
    *
    * @param client the HTTP client for upstreams
    * @param upstreamHeaders reads the header fields of probe responses
+   * @param noticeReader reads what upstreams say about themselves
    */
-  public UpstreamProber(HttpClient client, UpstreamHeaders upstreamHeaders) {
+  public UpstreamProber(
+      HttpClient client, UpstreamHeaders upstreamHeaders, NoticeReader noticeReader) {
     this.client = client;
     this.upstreamHeaders = upstreamHeaders;
+    this.noticeReader = noticeReader;
   }
 
   /**
@@ -40,7 +46,21 @@
     return sentProbeCount;
   }
 
-  void probe(UpstreamRegistration upstream, String path, Consumer<ReportedLoad> onLoad) {
+  /**
+   * Probes an upstream, unless it wants no requests from this host.
+   *
+   * @param onLoad receives the reported load
+   * @param onNotice receives what the upstream says about itself
+   */
+  void probe(
+      UpstreamRegistration upstream,
+      String path,
+      long nowMs,
+      Consumer<ReportedLoad> onLoad,
+      Consumer<UpstreamNotice> onNotice) {
+    if (noticeReader.notices().permission(upstream, nowMs) != UpstreamNotices.Permission.ALLOWED) {
+      return;
+    }
     sentProbeCount++;
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.HOST, upstream.address().toString());
@@ -60,6 +80,7 @@
         PROBE_TIMEOUT_MS,
         reply -> {
           if (reply instanceof ExchangeResult.Response response) {
+            onNotice.accept(noticeReader.read(upstream, response));
             upstreamHeaders.reportedLoad(response.headers()).ifPresent(onLoad);
           }
         });
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
@@ -3,6 +3,7 @@
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /** Reads and writes the header fields that callers, hosts and upstreams exchange. Thread-safe. */
@@ -66,6 +67,23 @@
    */
   boolean isSigned(HttpHeaders headers);
 
+  /**
+   * Returns whether an upstream says that it leaves.
+   *
+   * @param headers the response's header fields
+   * @return true if it wants no new requests
+   */
+  boolean isLeaving(HttpHeaders headers);
+
+  /**
+   * Returns how long an upstream that turned a request away wants no further requests.
+   *
+   * @param headers the response's header fields
+   * @return the time in seconds, not a number if it is unreadable; empty if the upstream does not
+   *     say
+   */
+  OptionalDouble holdOffSeconds(HttpHeaders headers);
+
   /**
    * Returns the load that an upstream reports.
    *
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -0,0 +1,177 @@
+package dev.cactusstack.gateway.callers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.decisions.gossip.HeartbeatState;
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.placing.PlacementDecision;
+import dev.cactusstack.decisions.placing.PlacementKey;
+import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.gateway.control.UpstreamsController;
+import dev.cactusstack.gateway.net.HttpClient;
+import dev.cactusstack.gateway.net.HttpClientSettings;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.observe.GatewayMetrics;
+import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.gateway.scheduling.LocalSchedulers;
+import dev.cactusstack.gateway.scheduling.NoticeReader;
+import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.UpstreamProber;
+import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.gateway.site.UpstreamHeaders;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.RequestKind;
+import dev.cactusstack.model.site.RouteRule;
+import dev.cactusstack.model.site.UpstreamRegistration;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.ByteArrayOutputStream;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a request that is sent to an upstream that wants none from this host, because
+ * another host placed it without knowing.
+ */
+class SenderCheckTest {
+  private static final Address SCHEDULER = new Address("127.0.0.1", 9);
+  private static final UpstreamRegistration UPSTREAM =
+      new UpstreamRegistration("u", "s", new Address("127.0.0.1", 1), "dc", 4, false, 0, 1, 1);
+  private static final RouteRule ROUTE =
+      new RouteRule(
+          "r",
+          "h",
+          "/",
+          RequestKind.IDEMPOTENT,
+          5_000,
+          2_000,
+          1,
+          1,
+          List.of(new RouteRule.WeightedService("s", 1)));
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final EventLog log = new EventLog(output);
+  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
+  private final UpstreamHeaders headers = stub(UpstreamHeaders.class);
+  private final NoticeReader noticeReader = new NoticeReader(() -> 0L, log, headers);
+  private final HttpClient client =
+      new HttpClient(
+          channel.eventLoop(), new HttpClientSettings(100, 100, false, 1_000, 1_000), () -> 0L);
+  private final PlacementClient placement =
+      new PlacementClient(
+          channel.eventLoop(),
+          () -> 0L,
+          log,
+          new Link(channel.eventLoop(), log),
+          peers,
+          new LocalSchedulers(
+              channel.eventLoop(),
+              () -> 0L,
+              log,
+              new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
+              new UpstreamsController(
+                  channel.eventLoop(),
+                  () -> 0L,
+                  () -> 0L,
+                  log,
+                  stub(SiteStore.class),
+                  Optional::empty,
+                  () -> false),
+              new UpstreamProber(client, headers, noticeReader),
+              () -> false,
+              new Random(1),
+              PeerTable.hash("self")),
+          "self",
+          0);
+  private final ForwardingContext context =
+      new ForwardingContext(
+          "dc",
+          channel.eventLoop(),
+          () -> 0L,
+          log,
+          headers,
+          client,
+          placement,
+          noticeReader,
+          new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
+          new GatewayMetrics());
+  private final List<CallerResponse> responses = new ArrayList<>();
+
+  /** Returns an object whose methods return empty or null, as no message is read here. */
+  private static <T> T stub(Class<T> type) {
+    return type.cast(
+        Proxy.newProxyInstance(
+            type.getClassLoader(),
+            new Class<?>[] {type},
+            (proxy, method, args) ->
+                method.getReturnType() == OptionalLong.class ? OptionalLong.empty() : null));
+  }
+
+  private void register(String name, Address address, int milliCores) {
+    peers.recordStart(new HostRegistration(name, "dc", address, address, milliCores, 1), 0);
+    peers.mergeHeartbeats(
+        List.of(new HeartbeatState(PeerTable.hash(name), 1, 1, false, StoreContact.UNKNOWN, true)),
+        0);
+  }
+
+  /** Forwards a request that another host places on the upstream. */
+  private String forwardWithPlacement() {
+    channel.freezeTime();
+    register("self", new Address("127.0.0.1", 8), 600);
+    register("scheduler", SCHEDULER, 6_000);
+    var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
+    new ForwardedRequest(context, request, "id", ROUTE, responses::add).start();
+    decide(new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM));
+    log.flush();
+    return output.toString(StandardCharsets.UTF_8);
+  }
+
+  private void decide(PlacementDecision decision) {
+    placement.onMessage(new LinkMessage.DecisionMade(decision, 0), SCHEDULER);
+  }
+
+  @Test
+  void shouldSendARequestWhenTheUpstreamHasSaidNothing() {
+    assertThat(forwardWithPlacement()).contains("event=sent");
+  }
+
+  @Test
+  void shouldNotSendARequestWhenTheUpstreamHasSaidThatItLeaves() {
+    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
+    assertThat(forwardWithPlacement())
+        .contains("event=upstream_declined")
+        .doesNotContain("event=sent");
+  }
+
+  @Test
+  void shouldNotSendARequestWhenTheUpstreamHoldsThisHostOff() {
+    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(false, 20_000), 0);
+    assertThat(forwardWithPlacement())
+        .contains("event=upstream_declined")
+        .doesNotContain("event=sent");
+  }
+
+  /** A placement that is turned down is no retry: the budget of this test allows none. */
+  @Test
+  void shouldRequestAnotherPlacementAndPassOnItsRejection() {
+    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
+    forwardWithPlacement();
+    assertThat(responses).isEmpty();
+    decide(new PlacementDecision.Rejected(new PlacementKey(PeerTable.hash("self"), 2), 700));
+    assertThat(responses)
+        .singleElement()
+        .satisfies(response -> assertThat(response.headers().get("Retry-After")).isEqualTo("0.7"));
+  }
+}
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -7,6 +7,7 @@
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
+import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
@@ -39,9 +40,11 @@
             log,
             new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
             upstreams,
-            new UpstreamProber(client, unusedHeaders()),
+            new UpstreamProber(
+                client, unusedHeaders(), new NoticeReader(time::nowMs, log, unusedHeaders())),
             () -> peers.isStoreConfirmed(time.nowMs()),
-            new Random(1));
+            new Random(1),
+            PeerTable.hash("self"));
     placement =
         new PlacementClient(
             time.loop(),
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.CallerLimits;
@@ -59,7 +60,13 @@
                       AttemptOutcome.ANSWERED,
                       90,
                       Optional.of(new ReportedLoad(1, 2, 4, 700))),
-                  new AttemptReport(KEY, "u", AttemptOutcome.UNUSED, 0, Optional.empty()))),
+                  new AttemptReport(
+                      KEY,
+                      "u",
+                      AttemptOutcome.UNUSED,
+                      0,
+                      Optional.empty(),
+                      new UpstreamNotice(true, 20_000)))),
           new LinkMessage.RequestCancelled("s", KEY),
           new LinkMessage.RequestDeclined(KEY),
           new LinkMessage.ConfigurationQuery(77),
