Observability: responses of upstreams that are skipped show in the log and the metrics

A response that was not taken for the current request's left no trace, so that a request whose first response was skipped looked like one that went well. One line for each attempt with such responses (responses_skipped: count, first status) and a counter for the host, probes included.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -222,6 +222,10 @@
         "cactusstack_upstream_connections",
         "Connections opened to upstreams",
         client::openedConnections);
+    registry.registerCounter(
+        "cactusstack_upstream_responses_skipped",
+        "Responses of upstreams that were not taken for the current request's",
+        client::skippedResponses);
     registry.registerCounter(
         "cactusstack_upstream_probes", "Probes of upstreams", prober::sentProbeCount);
     registry.registerCounter(
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -274,6 +274,7 @@
     }
     report(a.key, a.upstream, end, now() - a.startedAtMs, load);
     figures().recordAttemptOutcome(end.label());
+    logSkippedResponses(a);
     if (result instanceof ExchangeResult.Incomplete
         && now() - a.startedAtMs <= IMMEDIATE_RESET_MS
         && a.exchange != null) {
@@ -304,6 +305,17 @@
     retryOrGiveUp(end, result);
   }
 
+  private void logSkippedResponses(Attempt a) {
+    Exchange e = a.exchange;
+    if (e != null && e.skippedResponses() > 0) {
+      event("responses_skipped")
+          .with("upstream", a.upstream.id())
+          .with("count", e.skippedResponses())
+          .with("first_status", e.firstSkippedStatus())
+          .write();
+    }
+  }
+
   /** Retries or gives up after an attempt without a usable response. */
   private void retryOrGiveUp(AttemptOutcome end, ExchangeResult result) {
     if (!activeAttempts.isEmpty() || pendingPlacement != null) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/Exchange.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/Exchange.java
@@ -16,6 +16,8 @@
   private @Nullable Channel channel;
   private @Nullable Future<?> setTimeoutTimer;
   private long connectionIdleMs;
+  private int skippedResponses;
+  private int firstSkippedStatus;
   private boolean mayHaveBeenSent;
   private boolean hasEnded;
 
@@ -49,6 +51,30 @@
     return connectionIdleMs;
   }
 
+  /**
+   * Counts the responses that arrived during the exchange and were skipped, because they were not
+   * taken for the response to its request.
+   *
+   * @return the count
+   */
+  public int skippedResponses() {
+    return skippedResponses;
+  }
+
+  /**
+   * Returns the status of the first skipped response.
+   *
+   * @return the status, 0 if none was skipped
+   */
+  public int firstSkippedStatus() {
+    return firstSkippedStatus;
+  }
+
+  void recordSkippedResponse(int status) {
+    firstSkippedStatus = skippedResponses == 0 ? status : firstSkippedStatus;
+    skippedResponses++;
+  }
+
   void setConnectionIdleMs(long ms) {
     connectionIdleMs = ms;
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -40,6 +40,7 @@
   private final Set<ServerConnection> buffering = new HashSet<>();
   private long bufferedBytes;
   private long openedConnections;
+  private long skippedResponses;
 
   /**
    * Creates a client without connections.
@@ -111,6 +112,20 @@
     return openedConnections;
   }
 
+  /**
+   * Counts the responses that were skipped so far, because they were not taken for the response to
+   * the current request of their connection.
+   *
+   * @return the count
+   */
+  public long skippedResponses() {
+    return skippedResponses;
+  }
+
+  void recordSkippedResponse() {
+    skippedResponses++;
+  }
+
   /**
    * Checks whether a request could reuse a connection.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -229,6 +229,8 @@
       return;
     }
     if (skippingResponse) {
+      e.recordSkippedResponse(r.status().code());
+      client.recordSkippedResponse();
       reusable = false;
       return;
     }
