Upstream faults: a response that may be the current request's is never skipped

Cause: a response that the current request did not match was skipped whatever it was, and the exchange waited on. 'Not recognised' was taken for 'certainly another request's'. A failure without a request id was skipped so, and a second response with the id, a success, was delivered.

Change: a response has an owner: the current request, another one, or unknown. Only one that bears another request's id, or is a successful, unsigned probe response of that upstream, is another's and skipped. One of an unknown owner ends the exchange at once (ExchangeResult.Unattributed) and closes the connection: an idempotent request goes elsewhere, any other one gets 502 without Retry-After. On a connection without another request a rejection without an id still counts, but the connection carries nothing after it, so that its late copy meets no other request.

--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/AttemptClassifier.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/AttemptClassifier.java
@@ -22,7 +22,8 @@
     if (result instanceof ExchangeResult.NotSent) {
       return AttemptOutcome.UNREACHABLE;
     }
-    if (result instanceof ExchangeResult.Incomplete) {
+    if (result instanceof ExchangeResult.Incomplete
+        || result instanceof ExchangeResult.Unattributed) {
       return AttemptOutcome.BROKEN;
     }
     if (!(result instanceof ExchangeResult.Response r)) {
@@ -54,6 +55,9 @@
     if (result instanceof ExchangeResult.NotSent n) {
       return n.cause();
     }
+    if (result instanceof ExchangeResult.Unattributed u) {
+      return "status " + u.status() + " of an unknown request";
+    }
     return result instanceof ExchangeResult.Incomplete b ? b.cause() : "late";
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -219,7 +219,7 @@
             request.target(),
             headers,
             request.body(),
-            this::matchesRequest,
+            new RequestResponseMatcher(id, u.id(), context.wire()),
             context.idleReuseLimit(service).maxIdleMs(route.kind().idempotent(), now()));
     attempt.exchange =
         context
@@ -233,18 +233,6 @@
     }
   }
 
-  /**
-   * Checks whether a response belongs to this request. A rejection without an id is accepted only
-   * on a new connection: on another one it may be a late copy of an earlier rejection.
-   */
-  private boolean matchesRequest(HttpHeaders h, boolean newConnection) {
-    return context
-        .wire()
-        .requestId(h)
-        .map(id::equals)
-        .orElseGet(() -> newConnection && context.wire().reportsNotRun(0, h));
-  }
-
   private long hedgeDelayMs() {
     double typicalMs =
         context.processingTimes().estimateMs(route.name(), route.latencyObjectiveMs());
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ExchangeResult.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ExchangeResult.java
@@ -27,6 +27,13 @@
    */
   record Incomplete(String cause) implements ExchangeResult {}
 
+  /**
+   * A response came that may or may not be that to the request. The request may have run.
+   *
+   * @param status the status of that response
+   */
+  record Unattributed(int status) implements ExchangeResult {}
+
   /** The request may have been received, but no complete response came in time. */
   record TimedOut() implements ExchangeResult {}
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/OutgoingRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/OutgoingRequest.java
@@ -13,7 +13,7 @@
  * @param target its target
  * @param headers its header fields, without those of the body
  * @param body its body, possibly empty
- * @param responseMatcher checks whether a response belongs to this request
+ * @param responseMatcher determines whether a response belongs to this request
  * @param maxIdleMs longest idle time of a connection to be reused, in milliseconds
  */
 public record OutgoingRequest(
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
@@ -2,19 +2,20 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** Checks by its header fields whether a response belongs to a request. */
+/** Determines by status and header fields which request a response belongs to. Immutable. */
 @FunctionalInterface
 public interface ResponseMatcher {
-  /** Accepts every response. */
-  ResponseMatcher ANY = (headers, newConnection) -> true;
+  /** Takes every response for that to the current request. */
+  ResponseMatcher ANY = (status, headers, onlyRequest) -> ResponseOwner.CURRENT;
 
   /**
-   * Checks a response.
+   * Determines the owner of a response that arrives while the request of this matcher is the
+   * current one of its connection.
    *
+   * @param status the response's status
    * @param headers its header fields
-   * @param newConnection whether the request is the first on its connection, so that the response
-   *     cannot belong to an earlier one
-   * @return false if the response has to be skipped
+   * @param onlyRequest whether the connection has carried no other request
+   * @return the owner
    */
-  boolean matches(HttpHeaders headers, boolean newConnection);
+  ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest);
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -27,7 +27,9 @@
  * <p>A response is accepted only if it is complete and belongs to the current request. A response
  * without a length ends with its connection; it is complete only if the whole request was written
  * and no error of the connection was seen. A response to another request is skipped, and the
- * connection is closed after the exchange. Confined to the event loop.
+ * connection is closed after the exchange. A response that may or may not be that to the current
+ * request ends the exchange, so that nothing that follows can replace it. Confined to the event
+ * loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT_FIELD = "timeout=";
@@ -188,12 +190,28 @@
       failExchange("malformed response");
       return;
     }
-    Exchange e = exchange;
-    skippingResponse =
-        e == null || !e.request().responseMatcher().matches(r.headers(), exchanges == 1);
     head = r;
     headReceived = true;
     dropBody();
+    Exchange e = exchange;
+    if (e != null && !isInformational(r)) {
+      attribute(r, e.request().responseMatcher());
+    }
+  }
+
+  private static boolean isInformational(HttpResponse r) {
+    return r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+  }
+
+  private void attribute(HttpResponse r, ResponseMatcher matcher) {
+    int status = r.status().code();
+    ResponseOwner owner = matcher.ownerOf(status, r.headers(), exchanges == 1);
+    if (owner == ResponseOwner.UNKNOWN) {
+      fail(new ExchangeResult.Unattributed(status));
+      return;
+    }
+    skippingResponse = owner == ResponseOwner.ANOTHER;
+    reusable &= owner.allowsReuse();
   }
 
   private void appendBody(ByteBuf content) {
@@ -225,13 +243,12 @@
     if (r == null || e == null || connectionFailed) {
       return;
     }
-    if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+    if (isInformational(r)) {
       return;
     }
     if (skippingResponse) {
       e.recordSkippedResponse(r.status().code());
       client.recordSkippedResponse();
-      reusable = false;
       return;
     }
     if (!isOpen() && !requestWritten) {
@@ -279,13 +296,17 @@
   }
 
   void failExchange(String cause) {
+    fail(new ExchangeResult.Incomplete(cause));
+  }
+
+  private void fail(ExchangeResult result) {
     Exchange e = exchange;
     exchange = null;
     dropBody();
     reusable = false;
     close();
     if (e != null) {
-      e.complete(new ExchangeResult.Incomplete(cause));
+      e.complete(result);
     }
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
@@ -72,8 +72,7 @@
             path,
             headers,
             new byte[0],
-            (responseHeaders, newConnection) ->
-                upstreamHeaders.isProbeResponse(responseHeaders, upstream.id()),
+            new ProbeResponseMatcher(upstream.id(), upstreamHeaders),
             Long.MAX_VALUE);
     client.send(
         request,
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/RequestResponseMatcherTest.java
@@ -0,0 +1,50 @@
+package dev.cactusstack.gateway.callers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.gateway.net.ResponseOwner;
+import dev.cactusstack.gateway.site.FakeUpstreamHeaders;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RequestResponseMatcherTest {
+  private final RequestResponseMatcher matcher =
+      new RequestResponseMatcher("r1", "u1", FakeUpstreamHeaders.create());
+
+  @ParameterizedTest
+  @CsvSource({
+    "200, id, r1, false, CURRENT",
+    "500, id, r1, true, CURRENT",
+    "500, id, r2, true, ANOTHER",
+    "200, id, r2, false, ANOTHER",
+    "500, '', '', true, UNKNOWN",
+    "500, '', '', false, UNKNOWN",
+    "200, '', '', true, UNKNOWN",
+    "503, not-executed, 1, true, CURRENT_BY_ELIMINATION",
+    "503, not-executed, 1, false, UNKNOWN",
+    "503, '', '', true, UNKNOWN",
+    "200, instance, u1, false, ANOTHER",
+    "200, instance, u2, false, UNKNOWN",
+    "503, instance, u1, false, UNKNOWN",
+  })
+  void shouldAttributeAResponseByWhatItBears(
+      int status, String field, String value, boolean onlyRequest, ResponseOwner owner) {
+    var headers = new DefaultHttpHeaders();
+    if (!field.isEmpty()) {
+      headers.set(field, value);
+    }
+    assertThat(matcher.ownerOf(status, headers, onlyRequest)).isEqualTo(owner);
+  }
+
+  /** Guards against a response without an id that is skipped because it looks like a probe's. */
+  @ParameterizedTest
+  @CsvSource({"500, false", "200, true", "200, false"})
+  void shouldNotTakeASignedResponseForThatToAProbe(int status, boolean onlyRequest) {
+    var headers =
+        new DefaultHttpHeaders()
+            .set(FakeUpstreamHeaders.INSTANCE_ID, "u1")
+            .set(FakeUpstreamHeaders.SIGNED, "1");
+    assertThat(matcher.ownerOf(status, headers, onlyRequest)).isEqualTo(ResponseOwner.UNKNOWN);
+  }
+}
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -42,10 +43,20 @@
         "/",
         new DefaultHttpHeaders().set("id", id),
         new byte[0],
-        (h, newConnection) -> id.equals(h.get("id")),
+        (status, headers, onlyRequest) -> ownerOf(headers.get("id"), id, onlyRequest),
         Long.MAX_VALUE);
   }
 
+  private static ResponseOwner ownerOf(@Nullable String id, String current, boolean onlyRequest) {
+    if (id == null) {
+      return ResponseOwner.UNKNOWN;
+    }
+    if (id.equals("none")) {
+      return onlyRequest ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
+    }
+    return id.equals(current) ? ResponseOwner.CURRENT : ResponseOwner.ANOTHER;
+  }
+
   private Exchange sendRequest(String id) {
     var exchange = new Exchange(request(id), results::add);
     connection.run(exchange);
@@ -91,6 +102,53 @@
     assertThat(client.hasIdleConnection("pool")).isFalse();
   }
 
+  /** Guards against a response that is skipped, so that one that follows takes its place. */
+  @ParameterizedTest
+  @CsvSource({"500, '', 1", "500, '', 2", "200, '', 1", "200, '', 2", "503, 'id: none\r\n', 2"})
+  void shouldEndTheExchangeAtOnceWhenTheOwnerOfAResponseIsUnknown(
+      int status, String idField, int exchangeCount) {
+    for (int i = 1; i < exchangeCount; i++) {
+      sendRequest("earlier");
+      receive(response("earlier", "abc"));
+    }
+    results.clear();
+    sendRequest("1");
+    receive("HTTP/1.1 " + status + " X\r\nContent-Length: 3\r\n" + idField + "\r\n");
+    assertThat(results).containsExactly(new ExchangeResult.Unattributed(status));
+    assertThat(channel.isActive()).isFalse();
+  }
+
+  @Test
+  void shouldDeliverNothingThatFollowsAResponseOfAnUnknownOwner() {
+    sendRequest("1");
+    receive("HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nabc" + response("1", "abc"));
+    assertThat(results).containsExactly(new ExchangeResult.Unattributed(500));
+  }
+
+  @Test
+  void shouldEndTheExchangeWhenTheOwnerIsUnknownAndTheRequestIsNotWritten() {
+    channel.pipeline().addFirst(new UnfinishedWrites());
+    sendRequest("1");
+    receive("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" + response("1", "abc"));
+    assertThat(results).containsExactly(new ExchangeResult.Unattributed(500));
+  }
+
+  @Test
+  void shouldAcceptAResponseAndCloseWhenOnlyTheFirstRequestCanOwnIt() {
+    sendRequest("1");
+    receive(response("none", "abc"));
+    assertThat(body(0)).isEqualTo("abc");
+    assertThat(channel.isActive()).isFalse();
+  }
+
+  @Test
+  void shouldNotAttributeInformationalResponses() {
+    sendRequest("1");
+    receive("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + response("1", "abc"));
+    assertThat(body(0)).isEqualTo("abc");
+    assertThat(client.hasIdleConnection("pool")).isTrue();
+  }
+
   @Test
   void shouldCloseWhenUnsolicitedBytesArrive() {
     sendRequest("1");
