--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/AttemptReport.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/AttemptReport.java
@@ -46,4 +46,14 @@
       Optional<ReportedLoad> load) {
     this(key, upstreamId, outcome, durationMs, load, UpstreamNotice.NONE);
   }
+
+  /**
+   * Returns the same report at a later time, to send it again.
+   *
+   * @param elapsedMs time that has passed, in milliseconds
+   * @return the report with an older notice
+   */
+  public AttemptReport agedBy(long elapsedMs) {
+    return new AttemptReport(key, upstreamId, outcome, durationMs, load, notice.agedBy(elapsedMs));
+  }
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementDecision.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementDecision.java
@@ -1,6 +1,8 @@
 package dev.cactusstack.decisions.placing;
 
+import dev.cactusstack.decisions.limits.RequestLimit;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.Optional;
 
 /** A scheduler's decision on a placement request. Implementations are immutable. */
 public sealed interface PlacementDecision {
@@ -17,8 +19,30 @@
    *
    * @param key the placement request
    * @param upstream the upstream to send the request to
+   * @param limit what the scheduler knows of the upstream's limit; if it is limited, the placement
+   *     was counted against the limit
    */
-  record Placed(PlacementKey key, UpstreamRegistration upstream) implements PlacementDecision {}
+  record Placed(PlacementKey key, UpstreamRegistration upstream, Optional<RequestLimit> limit)
+      implements PlacementDecision {
+    /**
+     * Creates a placement on an upstream that has named no limit.
+     *
+     * @param key the placement request
+     * @param upstream the upstream to send the request to
+     */
+    public Placed(PlacementKey key, UpstreamRegistration upstream) {
+      this(key, upstream, Optional.empty());
+    }
+
+    /**
+     * Checks whether the placement was counted against a limit of the upstream.
+     *
+     * @return false if the scheduler knew of no limit
+     */
+    public boolean isCounted() {
+      return limit.isPresent() && limit.get().isLimited();
+    }
+  }
 
   /**
    * The request cannot be served in time.
