Upstream connections: none carries the same request id twice within a short time

Cause: a response is recognised by the request id, and a connection was reused also for another request of an id that it had carried: a retry of a caller under the same id, or an attempt at an upstream that was tried before (schedulers exclude these). A late second response to the first was then delivered as the answer to the second.

Change: HttpClient takes no idle connection that has carried the id among its last 32 requests.

--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestResponseMatcher.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestResponseMatcher.java
@@ -30,6 +30,11 @@
     return onlyRequest && rejected ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
   }
 
+  @Override
+  public Optional<String> requestId() {
+    return Optional.of(id);
+  }
+
   /** Checks for a late response to a probe. A failure may as well be that to the request. */
   private boolean belongsToProbe(int status, HttpHeaders headers) {
     return HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -22,12 +22,14 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import jdk.net.ExtendedSocketOptions;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An HTTP client that reuses connections to servers.
  *
  * <p>Invariant: a connection carries one exchange at a time, and is reused only after a complete
- * request and a complete response with no bytes after it. Confined to its event loop.
+ * request and a complete response with no bytes after it, and not for the id of a request that it
+ * carried lately. Confined to its event loop.
  */
 public final class HttpClient {
   private static final int KEEPALIVE_PROBE_INTERVAL_S = 1;
@@ -136,24 +138,23 @@
     return idle.containsKey(pool);
   }
 
-  private @org.jspecify.annotations.Nullable ServerConnection takeIdle(OutgoingRequest r) {
+  private @Nullable ServerConnection takeIdle(OutgoingRequest r) {
     Deque<ServerConnection> pool = idle.get(r.connectionPoolKey());
     if (pool == null) {
       return null;
     }
-    long now = clock.getAsLong();
-    ServerConnection candidate = pool.peekFirst();
-    boolean usable =
-        candidate != null
-            && candidate.idleFor(now) <= Math.min(r.maxIdleMs(), candidate.keepAliveMs())
-            && candidate.isOpen();
-    if (usable) {
-      pool.removeFirst();
-    }
-    if (pool.isEmpty()) {
-      idle.remove(r.connectionPoolKey());
+    ServerConnection candidate =
+        pool.stream().filter(connection -> !connection.hasCarried(r)).findFirst().orElse(null);
+    if (candidate == null || !isReusable(candidate, r)) {
+      return null;
     }
-    return usable ? candidate : null;
+    removeIdle(candidate);
+    return candidate;
+  }
+
+  private boolean isReusable(ServerConnection connection, OutgoingRequest r) {
+    long maxIdleMs = Math.min(r.maxIdleMs(), connection.keepAliveMs());
+    return connection.idleFor(clock.getAsLong()) <= maxIdleMs && connection.isOpen();
   }
 
   private void connect(Exchange exchange) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.net;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 
 /** Determines by status and header fields which request a response belongs to. Immutable. */
 @FunctionalInterface
@@ -18,4 +19,15 @@
    * @return the owner
    */
   ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest);
+
+  /**
+   * Returns the id by which responses to the request are recognised. A connection that has carried
+   * a request with the same id is not reused for it: a late response to that one would be taken for
+   * its own.
+   *
+   * @return the id, empty if there is none that differs from request to request
+   */
+  default Optional<String> requestId() {
+    return Optional.empty();
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -18,7 +18,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,9 +45,13 @@
   /** Limit on what a server may send in an exchange besides the body, in bytes. */
   private static final int MAX_OVERHEAD_BYTES = 131_072;
 
+  /** Ids of requests that a connection remembers. Late responses come soon after their requests. */
+  private static final int MAX_REMEMBERED_IDS = 32;
+
   private final HttpClient client;
   private final String connectionPoolKey;
   private final HttpClientSettings limits;
+  private final Deque<String> carriedIds = new ArrayDeque<>();
   private @Nullable Channel channel;
   private @Nullable Exchange exchange;
   private @Nullable HttpResponse head;
@@ -115,6 +121,7 @@
     }
     exchange = e;
     exchanges++;
+    e.request().responseMatcher().requestId().ifPresent(this::remember);
     requestWritten = false;
     receivedBytes = 0;
     headReceived = false;
@@ -129,6 +136,18 @@
         });
   }
 
+  private void remember(String id) {
+    carriedIds.addFirst(id);
+    if (carriedIds.size() > MAX_REMEMBERED_IDS) {
+      carriedIds.removeLast();
+    }
+  }
+
+  /** Checks whether the connection has carried a request with the same id lately. */
+  boolean hasCarried(OutgoingRequest r) {
+    return r.responseMatcher().requestId().filter(carriedIds::contains).isPresent();
+  }
+
   private static DefaultFullHttpRequest toNettyRequest(OutgoingRequest r) {
     var m =
         new DefaultFullHttpRequest(
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -10,13 +10,14 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.jspecify.annotations.Nullable;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,18 +44,28 @@
         "/",
         new DefaultHttpHeaders().set("id", id),
         new byte[0],
-        (status, headers, onlyRequest) -> ownerOf(headers.get("id"), id, onlyRequest),
+        new MatchById(id),
         Long.MAX_VALUE);
   }
 
-  private static ResponseOwner ownerOf(@Nullable String id, String current, boolean onlyRequest) {
-    if (id == null) {
-      return ResponseOwner.UNKNOWN;
+  /** Takes a response with the id "none" for one that only the first request can own. */
+  private record MatchById(String id) implements ResponseMatcher {
+    @Override
+    public ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest) {
+      String responseId = headers.get("id");
+      if (responseId == null) {
+        return ResponseOwner.UNKNOWN;
+      }
+      if (responseId.equals("none")) {
+        return onlyRequest ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
+      }
+      return responseId.equals(id) ? ResponseOwner.CURRENT : ResponseOwner.ANOTHER;
     }
-    if (id.equals("none")) {
-      return onlyRequest ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
+
+    @Override
+    public Optional<String> requestId() {
+      return Optional.of(id);
     }
-    return id.equals(current) ? ResponseOwner.CURRENT : ResponseOwner.ANOTHER;
   }
 
   private Exchange sendRequest(String id) {
@@ -141,6 +152,18 @@
     assertThat(channel.isActive()).isFalse();
   }
 
+  @Test
+  void shouldRememberTheIdsOfTheLastRequests() {
+    for (int i = 0; i < 33; i++) {
+      sendRequest("" + i);
+      receive(response("" + i, "abc"));
+    }
+    assertThat(connection.hasCarried(request("32"))).isTrue();
+    assertThat(connection.hasCarried(request("1"))).isTrue();
+    assertThat(connection.hasCarried(request("0"))).isFalse();
+    assertThat(connection.hasCarried(request("33"))).isFalse();
+  }
+
   @Test
   void shouldNotAttributeInformationalResponses() {
     sendRequest("1");
