--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestLimit.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestLimit.java
@@ -1,5 +1,7 @@
 package dev.cactusstack.decisions.limits;
 
+import java.util.OptionalDouble;
+
 /**
  * What an upstream said in one response about the rate of requests that it takes from all hosts
  * together, or that it said nothing, which withdraws an earlier limit.
@@ -15,6 +17,12 @@
   /** The rate of an upstream that names no limit. */
   public static final double UNLIMITED = Double.POSITIVE_INFINITY;
 
+  /** A higher rate is as good as none: no fleet sends as many requests to one upstream. */
+  public static final double MAX_REQUESTS_PER_SECOND = 1_000_000;
+
+  /** Longest time that a message between hosts usually takes, in milliseconds. */
+  private static final long MAX_TRANSIT_MS = 100;
+
   /** Checks the components. */
   public RequestLimit {
     if (!(requestsPerSecond >= 0)) {
@@ -25,6 +33,31 @@
     }
   }
 
+  /**
+   * Checks whether a rate can be used as it was given.
+   *
+   * @param requestsPerSecond the rate that an upstream gave; not a number if it is unreadable
+   * @return false if it is unreadable, negative or higher than the maximum
+   */
+  public static boolean isValidRate(double requestsPerSecond) {
+    return requestsPerSecond >= 0 && requestsPerSecond <= MAX_REQUESTS_PER_SECOND;
+  }
+
+  /**
+   * Converts a rate to one that can be used.
+   *
+   * @param requestsPerSecond the rate that an upstream gave; not a number if it is unreadable
+   * @return the rate, 0 if it is negative, {@link #UNLIMITED} if it is higher than the maximum;
+   *     empty if it is unreadable, in which case what was known before stays in force
+   */
+  public static OptionalDouble toUsableRate(double requestsPerSecond) {
+    if (Double.isNaN(requestsPerSecond)) {
+      return OptionalDouble.empty();
+    }
+    return OptionalDouble.of(
+        requestsPerSecond > MAX_REQUESTS_PER_SECOND ? UNLIMITED : Math.max(0, requestsPerSecond));
+  }
+
   /**
    * Checks whether the upstream named a limit.
    *
@@ -44,20 +77,34 @@
     return new RequestLimit(requestsPerSecond, sentAgeMs + elapsedMs, receivedAgeMs + elapsedMs);
   }
 
+  /**
+   * Returns the same statement as another host has to take it: its time on the way made it look
+   * younger.
+   *
+   * @return the statement, whose request may have been sent earlier
+   */
+  public RequestLimit fromAnotherHost() {
+    return new RequestLimit(requestsPerSecond, sentAgeMs + MAX_TRANSIT_MS, receivedAgeMs);
+  }
+
   /**
    * Chooses which of two statements of the same upstream holds: the one that was certainly written
-   * later, otherwise the stricter one, because a late response may be older than it looks.
+   * later, otherwise the stricter one, because a late response may be older than it looks. Of two
+   * that say the same, the one whose request was sent later holds.
    *
    * @param other another statement, with ages at the same time as this one's
    * @return this statement or the other
    */
   public RequestLimit latest(RequestLimit other) {
-    if (sentAgeMs <= other.receivedAgeMs) {
+    if (sentAgeMs < other.receivedAgeMs) {
       return this;
     }
-    if (other.sentAgeMs <= receivedAgeMs) {
+    if (other.sentAgeMs < receivedAgeMs) {
       return other;
     }
-    return requestsPerSecond <= other.requestsPerSecond ? this : other;
+    if (requestsPerSecond == other.requestsPerSecond) {
+      return sentAgeMs <= other.sentAgeMs ? this : other;
+    }
+    return requestsPerSecond < other.requestsPerSecond ? this : other;
   }
 }
