--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/DatedLimit.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/DatedLimit.java
@@ -1,5 +1,7 @@
 package dev.cactusstack.decisions.limits;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * What an upstream said of its limit, with the time at which the ages in it held. Immutable and
  * thread-safe.
@@ -19,13 +21,14 @@
   }
 
   /**
-   * Adds another statement of the same upstream.
+   * Adds a statement to what is known of the same upstream.
    *
-   * @param other the other statement, with its present ages
+   * @param known what is known; null if nothing is
+   * @param said the statement, with its present ages
    * @param nowMs the current time on the same clock
-   * @return the one that holds
+   * @return the statement that holds
    */
-  public DatedLimit merge(RequestLimit other, long nowMs) {
-    return new DatedLimit(at(nowMs).latest(other), nowMs);
+  public static DatedLimit merge(@Nullable DatedLimit known, RequestLimit said, long nowMs) {
+    return new DatedLimit(known == null ? said : known.at(nowMs).latest(said), nowMs);
   }
 }
