Scheduler: the choice of the upstream in a class of its own

No change of decisions. Scheduler.java had 492 lines; UpstreamPool takes the upstreams of a service, the choice among them and the selection for probes. submit() built a list of all upstreams and searched it for the shortest hold-off; it is now one loop that ends at the first upstream that takes the request, and shares its check with the choice.

Evidence: all tests of the module pass, none changed.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -4,7 +4,6 @@
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,27 +23,18 @@
  * one thread.
  */
 public final class Scheduler {
-  private static final long LOAD_FRESHNESS_MS = 150;
   private static final double ARRIVAL_RATE_DECAY_MS = 1_000;
-  private static final double MEAN_SLOWDOWN_SMOOTHING = 0.05;
   private static final long MAX_SLOT_HOLD_MS = 10_000;
   private static final double NO_UPSTREAM_RETRY_AFTER_MS = 300;
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
-  /** Costs that differ by less are considered equal. */
-  private static final double EQUAL_COST_MS = 2;
-
-  private final SchedulerSettings settings;
-  private final RandomGenerator random;
-  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final UpstreamPool upstreams;
   private final Map<PlacementKey, PlacedRequest> placedRequests = new HashMap<>();
   private final RequestQueue queue = new RequestQueue();
   private final ProcessingTimes processingTimes = new ProcessingTimes();
   private final ResponseTimeEstimator responseTimeEstimator;
   private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule();
-  private double meanSlowdown = 1.3;
-  private int warmupLimit;
   private double arrivalRate;
   private long arrivalRateAtMs;
 
@@ -56,9 +46,8 @@
    *     knowing any load do not all choose the same one
    */
   public Scheduler(SchedulerSettings settings, RandomGenerator random) {
-    this.settings = settings;
-    this.random = random;
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
+    this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator);
   }
 
   /**
@@ -70,19 +59,7 @@
    */
   public void updateUpstreams(
       ServiceSettings serviceSettings, Collection<UpstreamRegistration> usable, long nowMs) {
-    warmupLimit = settings.warmupRequestLimit(serviceSettings.warmupRequestsPerSecond());
-    Map<String, UpstreamLoad> nextLoads = new HashMap<>();
-    for (UpstreamRegistration usableUpstream : usable) {
-      UpstreamLoad load = loads.get(usableUpstream.id());
-      if (load == null) {
-        load = new UpstreamLoad(usableUpstream, nowMs);
-      } else {
-        load.updateRegistration(usableUpstream, nowMs);
-      }
-      nextLoads.put(usableUpstream.id(), load);
-    }
-    loads.clear();
-    loads.putAll(nextLoads);
+    upstreams.update(serviceSettings, usable, nowMs);
   }
 
   /**
@@ -103,13 +80,12 @@
     if (request.hedge()) {
       return List.of(placeHedge(request, nowMs));
     }
-    List<UpstreamLoad> candidates = candidates(request);
-    if (candidates.isEmpty()) {
+    double takenMs = upstreams.timeUntilTakenMs(request, nowMs);
+    if (takenMs == Double.POSITIVE_INFINITY) {
       return List.of(reject(request, NO_UPSTREAM_RETRY_AFTER_MS, nowMs));
     }
-    long heldOffMs = heldOffMs(candidates, request, nowMs);
-    if (heldOffMs > 0 && heldOffMs > maxWaitMs(request)) {
-      return List.of(new PlacementDecision.Rejected(request.key(), heldOffMs));
+    if (takenMs > 0 && takenMs > maxWaitMs(request)) {
+      return List.of(new PlacementDecision.Rejected(request.key(), (long) takenMs));
     }
     var candidate = new RequestQueue.QueuedRequest(request, nowMs, 0);
     Optional<PlacementDecision> placement = tryPlace(candidate, nowMs);
@@ -126,23 +102,6 @@
     return List.of(new PlacementDecision.Queued(request.key()));
   }
 
-  /** Returns the upstreams that the request may ever be placed on. */
-  private List<UpstreamLoad> candidates(PlacementRequest request) {
-    return loads.values().stream()
-        .filter(upstream -> !upstream.isLeaving())
-        .filter(upstream -> !request.excludedUpstreams().contains(upstream.registration().id()))
-        .toList();
-  }
-
-  /** Returns when the first of several upstreams takes requests of the host, in milliseconds. */
-  private static long heldOffMs(
-      List<UpstreamLoad> candidates, PlacementRequest request, long nowMs) {
-    return candidates.stream()
-        .mapToLong(upstream -> upstream.heldOffMs(request.key().hostHash(), nowMs))
-        .min()
-        .orElse(0);
-  }
-
   /**
    * Records what an upstream has said about itself to a host.
    *
@@ -152,17 +111,15 @@
    * @param nowMs the current time on the same clock
    */
   public void recordNotice(String upstreamId, int hostHash, UpstreamNotice notice, long nowMs) {
-    UpstreamLoad load = loads.get(upstreamId);
-    if (load != null) {
-      load.recordNotice(hostHash, notice, nowMs);
-    }
+    upstreams.find(upstreamId).ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
   }
 
   private Optional<PlacementDecision> findDecision(PlacementKey key) {
     PlacedRequest placed = placedRequests.get(key);
-    UpstreamLoad load = placed == null ? null : loads.get(placed.upstreamId());
-    if (load != null) {
-      return Optional.of(new PlacementDecision.Placed(key, load.registration()));
+    Optional<UpstreamLoad> load =
+        placed == null ? Optional.empty() : upstreams.find(placed.upstreamId());
+    if (load.isPresent()) {
+      return Optional.of(new PlacementDecision.Placed(key, load.get().registration()));
     }
     return queue.count(queued -> queued.request().key().equals(key)) > 0
         ? Optional.of(new PlacementDecision.Queued(key))
@@ -209,7 +166,7 @@
             0,
             request.objectiveRemainingMs()
                 - responseTimeEstimator.processingMs(request) * ON_TIME_SAFETY_FACTOR);
-    return 1 + maxWait / serviceIntervalMs(request);
+    return 1 + maxWait / upstreams.serviceIntervalMs(request);
   }
 
   /**
@@ -226,12 +183,9 @@
     if (placed == null) {
       return List.of();
     }
-    UpstreamLoad load = loads.get(attempt.upstreamId());
-    if (load != null) {
-      load.recordAttempt(attempt, nowMs);
-    }
+    upstreams.find(attempt.upstreamId()).ifPresent(load -> load.recordAttempt(attempt, nowMs));
     if (attempt.outcome() == AttemptOutcome.ANSWERED && attempt.load().isPresent()) {
-      updateMeanSlowdown(attempt.load().get());
+      upstreams.updateMeanSlowdown(attempt.load().get());
       processingTimes.recordResponse(
           placed.request.route(),
           placed.request.latencyObjectiveMs(),
@@ -250,32 +204,7 @@
    * @return the upstreams to probe now, those with the oldest report first
    */
   public List<UpstreamRegistration> selectProbeTargets(long nowMs) {
-    List<UpstreamLoad> stale = new ArrayList<>();
-    int good = 0;
-    for (UpstreamLoad upstream : loads.values()) {
-      if (upstream.isKnownGood(LOAD_FRESHNESS_MS, nowMs) && upstream.hasFreeSlot(nowMs)) {
-        good++;
-      } else if (isProbeUseful(upstream, nowMs)) {
-        stale.add(upstream);
-      }
-    }
-    int wanted = (int) Math.ceil(arrivalRate(nowMs) * LOAD_FRESHNESS_MS) - good;
-    stale.sort(Comparator.comparingLong(upstream -> -upstream.slowdownAgeMs(nowMs)));
-    List<UpstreamRegistration> targets = new ArrayList<>();
-    for (UpstreamLoad upstream : stale.subList(0, Math.max(0, Math.min(wanted, stale.size())))) {
-      upstream.recordProbeSent(nowMs);
-      targets.add(upstream.registration());
-    }
-    return targets;
-  }
-
-  private static boolean isProbeUseful(UpstreamLoad upstream, long nowMs) {
-    return upstream.slowdownAgeMs(nowMs) >= LOAD_FRESHNESS_MS
-        && upstream.probeAgeMs(nowMs) >= LOAD_FRESHNESS_MS
-        && upstream.hasFreeSlot(nowMs)
-        && !upstream.isLeaving()
-        && !upstream.isBackingOff(nowMs)
-        && !upstream.isCold(nowMs);
+    return upstreams.selectProbeTargets(arrivalRate(nowMs), nowMs);
   }
 
   /** Returns the exponentially weighted mean arrival rate, in requests per millisecond. */
@@ -293,18 +222,14 @@
    */
   public List<PlacementDecision> recordProbeResponse(
       String upstreamId, ReportedLoad reportedLoad, long nowMs) {
-    UpstreamLoad load = loads.get(upstreamId);
-    if (load != null) {
-      load.recordProbeResponse(reportedLoad, nowMs);
-      updateMeanSlowdown(reportedLoad);
+    Optional<UpstreamLoad> load = upstreams.find(upstreamId);
+    if (load.isPresent()) {
+      load.get().recordProbeResponse(reportedLoad, nowMs);
+      upstreams.updateMeanSlowdown(reportedLoad);
     }
     return placeQueued(nowMs);
   }
 
-  private void updateMeanSlowdown(ReportedLoad reportedLoad) {
-    meanSlowdown += (reportedLoad.slowdown() - meanSlowdown) * MEAN_SLOWDOWN_SMOOTHING;
-  }
-
   /**
    * Cancels a request: removes it from the queue and releases its slot.
    *
@@ -313,9 +238,8 @@
   public void cancel(PlacementKey key) {
     queue.remove(key);
     PlacedRequest placed = placedRequests.remove(key);
-    UpstreamLoad load = placed == null ? null : loads.get(placed.upstreamId());
-    if (load != null) {
-      load.releaseSlot(key);
+    if (placed != null) {
+      upstreams.find(placed.upstreamId()).ifPresent(load -> load.releaseSlot(key));
     }
   }
 
@@ -327,7 +251,7 @@
    * @return the decisions
    */
   public List<PlacementDecision> tick(long nowMs) {
-    loads.values().forEach(upstream -> upstream.releaseSlotsHeldBefore(nowMs - MAX_SLOT_HOLD_MS));
+    upstreams.releaseSlotsHeldBefore(nowMs - MAX_SLOT_HOLD_MS);
     placedRequests.values().removeIf(placed -> placed.placedAtMs < nowMs - MAX_SLOT_HOLD_MS);
     List<PlacementDecision> decisions = new ArrayList<>(placeQueued(nowMs));
     boolean overloaded = isOverloaded(nowMs);
@@ -362,7 +286,8 @@
     double queuedWorkMs = Math.max(minQueuedWorkMs, expectedWaitMs(request));
     return new PlacementDecision.Rejected(
         request.key(),
-        retryAfterSchedule.nextRetryAfterMs(queuedWorkMs, serviceIntervalMs(request), nowMs));
+        retryAfterSchedule.nextRetryAfterMs(
+            queuedWorkMs, upstreams.serviceIntervalMs(request), nowMs));
   }
 
   /**
@@ -383,10 +308,10 @@
    *     the number of queued requests
    */
   public String describeUpstream(String upstreamId, long nowMs) {
-    UpstreamLoad upstream = loads.get(upstreamId);
-    return upstream == null
-        ? "unknown"
-        : upstream.describe(meanSlowdown, nowMs) + ",waiting=" + queue.size();
+    return upstreams
+        .describe(upstreamId, nowMs)
+        .map(load -> load + ",waiting=" + queue.size())
+        .orElse("unknown");
   }
 
   private List<PlacementDecision> placeQueued(long nowMs) {
@@ -420,15 +345,11 @@
 
   private Optional<PlacementDecision> tryPlace(
       RequestQueue.QueuedRequest queued, double limitMs, long nowMs) {
-    Optional<UpstreamLoad> bestUpstream = findBestUpstream(queued.request(), nowMs);
-    if (bestUpstream.isEmpty()) {
-      return Optional.empty();
-    }
-    double expectedMs =
-        responseTimeEstimator.responseMs(bestUpstream.get(), queued.request(), meanSlowdown, nowMs);
-    return expectedMs <= limitMs
-        ? Optional.of(place(queued.request(), bestUpstream.get(), nowMs))
-        : Optional.empty();
+    PlacementRequest request = queued.request();
+    return upstreams
+        .findBest(request, nowMs)
+        .filter(best -> upstreams.responseMs(best, request, nowMs) <= limitMs)
+        .map(best -> place(request, best, nowMs));
   }
 
   private PlacementDecision place(PlacementRequest request, UpstreamLoad load, long nowMs) {
@@ -437,55 +358,8 @@
     return new PlacementDecision.Placed(request.key(), load.registration());
   }
 
-  private Optional<UpstreamLoad> findBestUpstream(PlacementRequest request, long nowMs) {
-    List<UpstreamLoad> cheapest = new ArrayList<>();
-    double lowestCostMs = Double.MAX_VALUE;
-    boolean allBackingOff =
-        loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
-    for (UpstreamLoad upstream : loads.values()) {
-      if (!isEligible(upstream, request, allBackingOff, nowMs)) {
-        continue;
-      }
-      double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
-      if (costMs < lowestCostMs - EQUAL_COST_MS) {
-        cheapest.clear();
-      }
-      if (costMs < lowestCostMs + EQUAL_COST_MS) {
-        cheapest.add(upstream);
-      }
-      lowestCostMs = Math.min(lowestCostMs, costMs);
-    }
-    return cheapest.isEmpty()
-        ? Optional.empty()
-        : Optional.of(cheapest.get(random.nextInt(cheapest.size())));
-  }
-
-  private boolean isEligible(
-      UpstreamLoad upstream, PlacementRequest request, boolean allBackingOff, long nowMs) {
-    if (!upstream.hasFreeSlot(nowMs)
-        || request.excludedUpstreams().contains(upstream.registration().id())) {
-      return false;
-    }
-    if (upstream.isLeaving() || upstream.heldOffMs(request.key().hostHash(), nowMs) > 0) {
-      return false;
-    }
-    if (upstream.isCold(nowMs) && !upstream.warmupRateAllows(warmupLimit, nowMs)) {
-      return false;
-    }
-    if (allBackingOff) {
-      return true;
-    }
-    return !upstream.isBackingOff(nowMs) && (!upstream.isOnTrial() || upstream.isIdle());
-  }
-
   private double expectedWaitMs(PlacementRequest request) {
-    return (queue.size() + 1) * serviceIntervalMs(request);
-  }
-
-  /** Returns the interval at which the service can take requests like this one. */
-  private double serviceIntervalMs(PlacementRequest request) {
-    int slots = loads.values().stream().mapToInt(upstream -> upstream.registration().slots()).sum();
-    return responseTimeEstimator.processingMs(request) * meanSlowdown / Math.max(1, slots);
+    return (queue.size() + 1) * upstreams.serviceIntervalMs(request);
   }
 
   private record PlacedRequest(PlacementRequest request, String upstreamId, long placedAtMs) {}
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
@@ -0,0 +1,185 @@
+package dev.cactusstack.decisions.placing;
+
+import dev.cactusstack.model.site.ServiceSettings;
+import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * The upstreams of one service as its scheduler sees them, and the choice among them.
+ *
+ * <p>Invariant: an upstream that takes no request of a host at all, or that has no free slot, is
+ * never chosen. Confined to one thread.
+ */
+final class UpstreamPool {
+  private static final long LOAD_FRESHNESS_MS = 150;
+  private static final double MEAN_SLOWDOWN_SMOOTHING = 0.05;
+
+  /** Costs that differ by less are considered equal. */
+  private static final double EQUAL_COST_MS = 2;
+
+  private final SchedulerSettings settings;
+  private final RandomGenerator random;
+  private final ResponseTimeEstimator responseTimeEstimator;
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private double meanSlowdown = 1.3;
+  private int warmupLimit;
+
+  UpstreamPool(
+      SchedulerSettings settings,
+      RandomGenerator random,
+      ResponseTimeEstimator responseTimeEstimator) {
+    this.settings = settings;
+    this.random = random;
+    this.responseTimeEstimator = responseTimeEstimator;
+  }
+
+  /** Replaces the set of upstreams that can receive requests. */
+  void update(
+      ServiceSettings serviceSettings, Collection<UpstreamRegistration> usable, long nowMs) {
+    warmupLimit = settings.warmupRequestLimit(serviceSettings.warmupRequestsPerSecond());
+    Map<String, UpstreamLoad> nextLoads = new HashMap<>();
+    for (UpstreamRegistration usableUpstream : usable) {
+      UpstreamLoad load = loads.get(usableUpstream.id());
+      if (load == null) {
+        load = new UpstreamLoad(usableUpstream, nowMs);
+      } else {
+        load.updateRegistration(usableUpstream, nowMs);
+      }
+      nextLoads.put(usableUpstream.id(), load);
+    }
+    loads.clear();
+    loads.putAll(nextLoads);
+  }
+
+  Optional<UpstreamLoad> find(String upstreamId) {
+    return Optional.ofNullable(loads.get(upstreamId));
+  }
+
+  /** Releases slots that have been held so long that no report is expected any more. */
+  void releaseSlotsHeldBefore(long cutoffMs) {
+    loads.values().forEach(upstream -> upstream.releaseSlotsHeldBefore(cutoffMs));
+  }
+
+  void updateMeanSlowdown(ReportedLoad reportedLoad) {
+    meanSlowdown += (reportedLoad.slowdown() - meanSlowdown) * MEAN_SLOWDOWN_SMOOTHING;
+  }
+
+  /**
+   * Returns the time until the first upstream takes a request if it has a free slot by then, in
+   * milliseconds; infinite if none will.
+   */
+  double timeUntilTakenMs(PlacementRequest request, long nowMs) {
+    double firstMs = Double.POSITIVE_INFINITY;
+    for (UpstreamLoad upstream : loads.values()) {
+      double takenMs = timeUntilTakenMs(upstream, request, nowMs);
+      if (takenMs == 0) {
+        return 0;
+      }
+      firstMs = Math.min(firstMs, takenMs);
+    }
+    return firstMs;
+  }
+
+  private static double timeUntilTakenMs(
+      UpstreamLoad upstream, PlacementRequest request, long nowMs) {
+    if (upstream.isLeaving()
+        || request.excludedUpstreams().contains(upstream.registration().id())) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return upstream.heldOffMs(request.key().hostHash(), nowMs);
+  }
+
+  /** Finds the upstream on which a request is served best now. */
+  Optional<UpstreamLoad> findBest(PlacementRequest request, long nowMs) {
+    List<UpstreamLoad> cheapest = new ArrayList<>();
+    double lowestCostMs = Double.MAX_VALUE;
+    boolean allBackingOff =
+        loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
+    for (UpstreamLoad upstream : loads.values()) {
+      if (!isEligible(upstream, request, allBackingOff, nowMs)) {
+        continue;
+      }
+      double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
+      if (costMs < lowestCostMs - EQUAL_COST_MS) {
+        cheapest.clear();
+      }
+      if (costMs < lowestCostMs + EQUAL_COST_MS) {
+        cheapest.add(upstream);
+      }
+      lowestCostMs = Math.min(lowestCostMs, costMs);
+    }
+    return cheapest.isEmpty()
+        ? Optional.empty()
+        : Optional.of(cheapest.get(random.nextInt(cheapest.size())));
+  }
+
+  private boolean isEligible(
+      UpstreamLoad upstream, PlacementRequest request, boolean allBackingOff, long nowMs) {
+    if (!upstream.hasFreeSlot(nowMs) || timeUntilTakenMs(upstream, request, nowMs) > 0) {
+      return false;
+    }
+    if (upstream.isCold(nowMs) && !upstream.warmupRateAllows(warmupLimit, nowMs)) {
+      return false;
+    }
+    if (allBackingOff) {
+      return true;
+    }
+    return !upstream.isBackingOff(nowMs) && (!upstream.isOnTrial() || upstream.isIdle());
+  }
+
+  /** Returns the time until the response if a request is sent to an upstream now. */
+  double responseMs(UpstreamLoad upstream, PlacementRequest request, long nowMs) {
+    return responseTimeEstimator.responseMs(upstream, request, meanSlowdown, nowMs);
+  }
+
+  /** Returns the interval at which the upstreams can take requests like this one. */
+  double serviceIntervalMs(PlacementRequest request) {
+    int slots = loads.values().stream().mapToInt(upstream -> upstream.registration().slots()).sum();
+    return responseTimeEstimator.processingMs(request) * meanSlowdown / Math.max(1, slots);
+  }
+
+  /**
+   * Selects upstreams to probe: those with free slots and no recent load report, as long as fewer
+   * upstreams are known to be good than requests are expected until the next report arrives.
+   */
+  List<UpstreamRegistration> selectProbeTargets(double requestsPerMs, long nowMs) {
+    List<UpstreamLoad> stale = new ArrayList<>();
+    int good = 0;
+    for (UpstreamLoad upstream : loads.values()) {
+      if (upstream.isKnownGood(LOAD_FRESHNESS_MS, nowMs) && upstream.hasFreeSlot(nowMs)) {
+        good++;
+      } else if (isProbeUseful(upstream, nowMs)) {
+        stale.add(upstream);
+      }
+    }
+    int wanted = (int) Math.ceil(requestsPerMs * LOAD_FRESHNESS_MS) - good;
+    stale.sort(Comparator.comparingLong(upstream -> -upstream.slowdownAgeMs(nowMs)));
+    List<UpstreamRegistration> targets = new ArrayList<>();
+    for (UpstreamLoad upstream : stale.subList(0, Math.max(0, Math.min(wanted, stale.size())))) {
+      upstream.recordProbeSent(nowMs);
+      targets.add(upstream.registration());
+    }
+    return targets;
+  }
+
+  private static boolean isProbeUseful(UpstreamLoad upstream, long nowMs) {
+    return upstream.slowdownAgeMs(nowMs) >= LOAD_FRESHNESS_MS
+        && upstream.probeAgeMs(nowMs) >= LOAD_FRESHNESS_MS
+        && upstream.hasFreeSlot(nowMs)
+        && !upstream.isLeaving()
+        && !upstream.isBackingOff(nowMs)
+        && !upstream.isCold(nowMs);
+  }
+
+  /** Describes an upstream for a log line. */
+  Optional<String> describe(String upstreamId, long nowMs) {
+    return find(upstreamId).map(upstream -> upstream.describe(meanSlowdown, nowMs));
+  }
+}
