Scheduler: a late report of an upstream's former start doesn't bind the new one

Callers saw: an upstream that restarted under its id could get no requests for as long as it ran, because a report of the former start, late or repeated, said that it leaves; hold-offs and the slot count were taken over in the same way.

Cause: placements and reports were matched by the upstream's id alone. Now a placement remembers the start that it was made on, and reports, cancellations and resent decisions apply to that start only. A report of a placement that is not known any more says nothing of the start; it applies unless the upstream has restarted within the last 10 minutes. recordNotice takes the registration that was probed.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -105,19 +105,21 @@
   /**
    * Records what an upstream has said about itself to a host.
    *
-   * @param upstreamId the upstream's identity
+   * @param upstream the upstream, in the start that said it
    * @param hostHash hash of the host's name
    * @param notice what it said
    * @param nowMs the current time on the same clock
    */
-  public void recordNotice(String upstreamId, int hostHash, UpstreamNotice notice, long nowMs) {
-    upstreams.find(upstreamId).ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
+  public void recordNotice(
+      UpstreamRegistration upstream, int hostHash, UpstreamNotice notice, long nowMs) {
+    upstreams
+        .find(upstream.id(), upstream.startedAtMs())
+        .ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
   }
 
   private Optional<PlacementDecision> findDecision(PlacementKey key) {
     PlacedRequest placed = placedRequests.get(key);
-    Optional<UpstreamLoad> load =
-        placed == null ? Optional.empty() : upstreams.find(placed.upstreamId());
+    Optional<UpstreamLoad> load = placed == null ? Optional.empty() : findLoad(placed);
     if (load.isPresent()) {
       return Optional.of(new PlacementDecision.Placed(key, load.get().registration()));
     }
@@ -178,12 +180,16 @@
    * @return decisions on queued requests that were placed
    */
   public List<PlacementDecision> report(AttemptReport attempt, long nowMs) {
-    recordNotice(attempt.upstreamId(), attempt.key().hostHash(), attempt.notice(), nowMs);
     PlacedRequest placed = placedRequests.remove(attempt.key());
+    Optional<UpstreamLoad> load =
+        placed == null
+            ? upstreams.findUnlessRestarted(attempt.upstreamId(), nowMs)
+            : findLoad(placed);
+    load.ifPresent(l -> l.recordNotice(attempt.key().hostHash(), attempt.notice(), nowMs));
     if (placed == null) {
       return List.of();
     }
-    upstreams.find(attempt.upstreamId()).ifPresent(load -> load.recordAttempt(attempt, nowMs));
+    load.ifPresent(l -> l.recordAttempt(attempt, nowMs));
     if (attempt.outcome() == AttemptOutcome.ANSWERED && attempt.load().isPresent()) {
       upstreams.updateMeanSlowdown(attempt.load().get());
       processingTimes.recordResponse(
@@ -239,7 +245,7 @@
     queue.remove(key);
     PlacedRequest placed = placedRequests.remove(key);
     if (placed != null) {
-      upstreams.find(placed.upstreamId()).ifPresent(load -> load.releaseSlot(key));
+      findLoad(placed).ifPresent(load -> load.releaseSlot(key));
     }
   }
 
@@ -354,7 +360,7 @@
 
   private PlacementDecision place(PlacementRequest request, UpstreamLoad load, long nowMs) {
     load.holdSlot(request.key(), responseTimeEstimator.processingMs(request), nowMs);
-    placedRequests.put(request.key(), new PlacedRequest(request, load.registration().id(), nowMs));
+    placedRequests.put(request.key(), new PlacedRequest(request, load.registration(), nowMs));
     return new PlacementDecision.Placed(request.key(), load.registration());
   }
 
@@ -362,5 +368,11 @@
     return (queue.size() + 1) * upstreams.serviceIntervalMs(request);
   }
 
-  private record PlacedRequest(PlacementRequest request, String upstreamId, long placedAtMs) {}
+  /** Finds the upstream of a placement, unless it has restarted since. */
+  private Optional<UpstreamLoad> findLoad(PlacedRequest placed) {
+    return upstreams.find(placed.upstream.id(), placed.upstream.startedAtMs());
+  }
+
+  private record PlacedRequest(
+      PlacementRequest request, UpstreamRegistration upstream, long placedAtMs) {}
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
@@ -28,6 +28,7 @@
   private final RandomGenerator random;
   private final ResponseTimeEstimator responseTimeEstimator;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final UpstreamStarts starts = new UpstreamStarts();
   private double meanSlowdown = 1.3;
   private int warmupLimit;
 
@@ -53,15 +54,29 @@
         load.updateRegistration(usableUpstream, nowMs);
       }
       nextLoads.put(usableUpstream.id(), load);
+      starts.recordUse(usableUpstream, nowMs);
     }
+    starts.forgetUnused(nowMs);
     loads.clear();
     loads.putAll(nextLoads);
   }
 
+  /** Finds an upstream, whichever start of it is in use. */
   Optional<UpstreamLoad> find(String upstreamId) {
     return Optional.ofNullable(loads.get(upstreamId));
   }
 
+  /** Finds an upstream if a given start of it is in use. */
+  Optional<UpstreamLoad> find(String upstreamId, long startedAtMs) {
+    return find(upstreamId)
+        .filter(upstream -> upstream.registration().startedAtMs() == startedAtMs);
+  }
+
+  /** Finds an upstream if no other start of it has been in use lately. */
+  Optional<UpstreamLoad> findUnlessRestarted(String upstreamId, long nowMs) {
+    return find(upstreamId).filter(upstream -> !starts.isRestarted(upstreamId, nowMs));
+  }
+
   /** Releases slots that have been held so long that no report is expected any more. */
   void releaseSlotsHeldBefore(long cutoffMs) {
     loads.values().forEach(upstream -> upstream.releaseSlotsHeldBefore(cutoffMs));
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -155,12 +155,60 @@
   void shouldPlaceOnAnUpstreamThatLeftOnceItHasRestarted() {
     scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
     scheduler.report(unused(one(request(300), 0), new UpstreamNotice(true, 0)), 10);
-    var restarted =
-        new UpstreamRegistration("a", "s", new Address("127.0.0.1", 80), "dc", 4, false, 0, 2, 0);
-    scheduler.updateUpstreams(RULE, List.of(restarted), 20);
+    scheduler.updateUpstreams(RULE, List.of(restarted("a")), 20);
     assertThat(placedOn(one(request(300), 30))).isEqualTo("a");
   }
 
+  private static UpstreamRegistration restarted(String id) {
+    return new UpstreamRegistration(id, "s", new Address("127.0.0.1", 80), "dc", 4, false, 0, 2, 0);
+  }
+
+  /** Guards against a restarted upstream that gets no requests, because its former start left. */
+  @Test
+  void shouldIgnoreALateReportOfAFormerStart() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    PlacementDecision reportedOnce = one(request(300), 0);
+    PlacementDecision reportedTwice = one(request(300), 0);
+    scheduler.report(unused(reportedTwice, UpstreamNotice.NONE), 5);
+    scheduler.updateUpstreams(RULE, List.of(restarted("a")), 10);
+    scheduler.report(unused(reportedOnce, new UpstreamNotice(true, 20_000)), 20);
+    scheduler.report(unused(reportedTwice, new UpstreamNotice(true, 20_000)), 20);
+    assertThat(placedOn(one(request(300), 30))).isEqualTo("a");
+  }
+
+  /** The same, with a time between the two starts in which the upstream was not registered. */
+  @Test
+  void shouldIgnoreALateReportOfAFormerStartThatWasGoneForAWhile() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0)), 0);
+    PlacementDecision first = one(request(300), 0);
+    scheduler.report(unused(first, UpstreamNotice.NONE), 5);
+    scheduler.updateUpstreams(RULE, List.of(), 10);
+    scheduler.updateUpstreams(RULE, List.of(restarted("a")), 20);
+    scheduler.report(unused(first, new UpstreamNotice(true, 0)), 30);
+    assertThat(placedOn(one(request(300), 40))).isEqualTo("a");
+  }
+
+  @Test
+  void shouldIgnoreAProbeResponseOfAFormerStart() {
+    scheduler.updateUpstreams(RULE, List.of(restarted("a")), 0);
+    scheduler.recordNotice(upstream("a", 4, 0), 1, new UpstreamNotice(true, 0), 10);
+    assertThat(placedOn(one(request(300), 20))).isEqualTo("a");
+    scheduler.recordNotice(restarted("a"), 1, new UpstreamNotice(true, 0), 30);
+    assertThat(one(request(300), 40)).isInstanceOf(PlacementDecision.Rejected.class);
+  }
+
+  /** A decision that was lost on its way rests on an upstream that no longer runs. */
+  @Test
+  void shouldDecideAgainWhenTheUpstreamHasRestartedSinceThePlacement() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 4, 0), upstream("b", 4, 0)), 0);
+    PlacementRequest request = request(300);
+    UpstreamRegistration former = ((PlacementDecision.Placed) one(request, 0)).upstream();
+    String other = former.id().equals("a") ? "b" : "a";
+    scheduler.updateUpstreams(RULE, List.of(restarted(former.id()), upstream(other, 4, 0)), 10);
+    scheduler.recordNotice(restarted(former.id()), 1, new UpstreamNotice(true, 0), 15);
+    assertThat(placedOn(one(request, 20))).isEqualTo(other);
+  }
+
   @Test
   void shouldReleaseTheSlotWhenThePlacedRequestIsCancelled() {
     scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -213,7 +213,7 @@
             load ->
                 publish(
                     service, scheduler.recordProbeResponse(target.id(), load, clock.getAsLong())),
-            notice -> scheduler.recordNotice(target.id(), selfHash, notice, clock.getAsLong()));
+            notice -> scheduler.recordNotice(target, selfHash, notice, clock.getAsLong()));
       }
     }
     if (!lastRequestAtMs.isEmpty()) {
