Scheduler: placements on a limited upstream are counted

Callers' requests reached an upstream at the rate of the demand, whatever it had said. Now the scheduler knows what each start of an upstream said of its limit (reports, probes, hosts that tell it before they ask) and takes one request from the upstream's count for each placement: first attempts, retries and hedges alike. A limited upstream without room is not eligible and is never probed; the share is 0 until the gateway sets it.

- A request for which no upstream has room within its wait is rejected at once, with the time until the first has room.
The queue and the times for retries count a limited upstream at its rate.
- A resent decision is the one that was made: counted once, and not counted if the limit became known later.
- Placements of which nothing was sent (UNUSED, cancelled) are taken off the count once; cancel() takes the time.

--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
@@ -29,6 +29,7 @@
   private static final double ONE_REQUEST = 1;
 
   private final TokenBucket bucket;
+  private final long createdAtMs;
   private double requestsPerSecond;
 
   /**
@@ -38,6 +39,7 @@
    */
   public RequestCounter(long nowMs) {
     this.bucket = TokenBucket.empty(nowMs);
+    this.createdAtMs = nowMs;
   }
 
   /**
@@ -71,13 +73,13 @@
 
   /**
    * Takes a request off the count that was not sent. One that was counted long ago stays counted,
-   * so that requests can't be saved up.
+   * so that requests can't be saved up; one that was counted by another counter isn't in the count.
    *
    * @param countedAtMs when it was counted, in milliseconds on the same clock
    * @param nowMs the current time on the same clock
    */
   public void takeBack(long countedAtMs, long nowMs) {
-    if (nowMs - countedAtMs <= MAX_RETURN_MS) {
+    if (countedAtMs >= createdAtMs && nowMs - countedAtMs <= MAX_RETURN_MS) {
       bucket.putBack(ONE_REQUEST, nowMs);
     }
   }
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -1,12 +1,11 @@
 package dev.cactusstack.decisions.placing;
 
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -19,18 +18,18 @@
  * queued than can meet their objective, the oldest is rejected immediately. Requests that can no
  * longer meet their objective get only the slots that the others do not need.
  *
- * <p>Invariant: no upstream holds more requests of this scheduler than it has slots. Confined to
- * one thread.
+ * <p>Invariants: no upstream holds more requests of this scheduler than it has slots. Each
+ * placement on an upstream that is known to limit its requests is counted against this scheduler's
+ * share of the limit. Confined to one thread.
  */
 public final class Scheduler {
   private static final double ARRIVAL_RATE_DECAY_MS = 1_000;
-  private static final long MAX_SLOT_HOLD_MS = 10_000;
   private static final double NO_UPSTREAM_RETRY_AFTER_MS = 300;
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
   private final UpstreamPool upstreams;
-  private final Map<PlacementKey, PlacedRequest> placedRequests = new HashMap<>();
+  private final OpenPlacements openPlacements;
   private final RequestQueue queue = new RequestQueue();
   private final ProcessingTimes processingTimes = new ProcessingTimes();
   private final ResponseTimeEstimator responseTimeEstimator;
@@ -48,6 +47,7 @@
   public Scheduler(SchedulerSettings settings, RandomGenerator random) {
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
     this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator);
+    this.openPlacements = new OpenPlacements(upstreams);
   }
 
   /**
@@ -62,6 +62,29 @@
     upstreams.update(serviceSettings, usable, nowMs);
   }
 
+  /**
+   * Sets the share of the upstreams' limits that this scheduler may use. It is 0 at first, with
+   * which no request is placed on a limited upstream.
+   *
+   * @param share the share, from 0 to 1
+   * @param nowMs the current time on the same clock
+   */
+  public void updateLimitShare(double share, long nowMs) {
+    upstreams.updateLimitShare(share, nowMs);
+  }
+
+  /**
+   * Records a limit that another host knows of.
+   *
+   * @param limit the limit; ignored unless that start of the upstream is in use
+   * @param nowMs the current time on the same clock
+   */
+  public void recordLimit(UpstreamLimit limit, long nowMs) {
+    upstreams
+        .find(limit.upstreamId(), limit.startedAtMs())
+        .ifPresent(load -> load.limit().record(limit.limit(), nowMs));
+  }
+
   /**
    * Places, queues or rejects a request. A request that is submitted again, because the decision
    * was lost on its way to the host, gets the same decision.
@@ -71,7 +94,7 @@
    * @return the decision on the request; a rejection of another, queued request may follow it
    */
   public List<PlacementDecision> submit(PlacementRequest request, long nowMs) {
-    Optional<PlacementDecision> existing = findDecision(request.key());
+    Optional<PlacementDecision> existing = findDecision(request.key(), nowMs);
     if (existing.isPresent()) {
       return List.of(existing.get());
     }
@@ -85,7 +108,7 @@
       return List.of(reject(request, NO_UPSTREAM_RETRY_AFTER_MS, nowMs));
     }
     if (takenMs > 0 && takenMs > maxWaitMs(request)) {
-      return List.of(new PlacementDecision.Rejected(request.key(), (long) takenMs));
+      return List.of(reject(request, takenMs, nowMs));
     }
     var candidate = new RequestQueue.QueuedRequest(request, nowMs, 0);
     Optional<PlacementDecision> placement = tryPlace(candidate, nowMs);
@@ -117,11 +140,10 @@
         .ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
   }
 
-  private Optional<PlacementDecision> findDecision(PlacementKey key) {
-    PlacedRequest placed = placedRequests.get(key);
-    Optional<UpstreamLoad> load = placed == null ? Optional.empty() : findLoad(placed);
-    if (load.isPresent()) {
-      return Optional.of(new PlacementDecision.Placed(key, load.get().registration()));
+  private Optional<PlacementDecision> findDecision(PlacementKey key, long nowMs) {
+    Optional<PlacementDecision> placed = openPlacements.findDecision(key, nowMs);
+    if (placed.isPresent()) {
+      return placed;
     }
     return queue.count(queued -> queued.request().key().equals(key)) > 0
         ? Optional.of(new PlacementDecision.Queued(key))
@@ -180,21 +202,15 @@
    * @return decisions on queued requests that were placed
    */
   public List<PlacementDecision> report(AttemptReport attempt, long nowMs) {
-    PlacedRequest placed = placedRequests.remove(attempt.key());
-    Optional<UpstreamLoad> load =
-        placed == null
-            ? upstreams.findUnlessRestarted(attempt.upstreamId(), nowMs)
-            : findLoad(placed);
-    load.ifPresent(l -> l.recordNotice(attempt.key().hostHash(), attempt.notice(), nowMs));
-    if (placed == null) {
+    Optional<PlacementRequest> request = openPlacements.end(attempt, nowMs);
+    if (request.isEmpty()) {
       return List.of();
     }
-    load.ifPresent(l -> l.recordAttempt(attempt, nowMs));
     if (attempt.outcome() == AttemptOutcome.ANSWERED && attempt.load().isPresent()) {
       upstreams.updateMeanSlowdown(attempt.load().get());
       processingTimes.recordResponse(
-          placed.request.route(),
-          placed.request.latencyObjectiveMs(),
+          request.get().route(),
+          request.get().latencyObjectiveMs(),
           attempt.durationMs(),
           attempt.load().get().slowdown());
     }
@@ -239,14 +255,12 @@
   /**
    * Cancels a request: removes it from the queue and releases its slot.
    *
-   * @param key the key of the request
+   * @param key the key of the request, of which nothing was sent
+   * @param nowMs the current time on the same clock
    */
-  public void cancel(PlacementKey key) {
+  public void cancel(PlacementKey key, long nowMs) {
     queue.remove(key);
-    PlacedRequest placed = placedRequests.remove(key);
-    if (placed != null) {
-      findLoad(placed).ifPresent(load -> load.releaseSlot(key));
-    }
+    openPlacements.cancel(key, nowMs);
   }
 
   /**
@@ -257,8 +271,7 @@
    * @return the decisions
    */
   public List<PlacementDecision> tick(long nowMs) {
-    upstreams.releaseSlotsHeldBefore(nowMs - MAX_SLOT_HOLD_MS);
-    placedRequests.values().removeIf(placed -> placed.placedAtMs < nowMs - MAX_SLOT_HOLD_MS);
+    openPlacements.expire(nowMs);
     List<PlacementDecision> decisions = new ArrayList<>(placeQueued(nowMs));
     boolean overloaded = isOverloaded(nowMs);
     List<RequestQueue.QueuedRequest> expired =
@@ -288,12 +301,14 @@
         request.latencyObjectiveMs(), request.deadlineRemainingMs() * MAX_WAIT_SHARE_OF_DEADLINE);
   }
 
-  private PlacementDecision reject(PlacementRequest request, double minQueuedWorkMs, long nowMs) {
-    double queuedWorkMs = Math.max(minQueuedWorkMs, expectedWaitMs(request));
-    return new PlacementDecision.Rejected(
-        request.key(),
+  /** Rejects a request that can be served after some time at the earliest. */
+  private PlacementDecision reject(PlacementRequest request, double minWaitMs, long nowMs) {
+    long retryAfterMs =
         retryAfterSchedule.nextRetryAfterMs(
-            queuedWorkMs, upstreams.serviceIntervalMs(request), nowMs));
+            Math.max(minWaitMs, expectedWaitMs(request)),
+            upstreams.serviceIntervalMs(request),
+            nowMs);
+    return new PlacementDecision.Rejected(request.key(), Math.max((long) minWaitMs, retryAfterMs));
   }
 
   /**
@@ -358,21 +373,12 @@
         .map(best -> place(request, best, nowMs));
   }
 
-  private PlacementDecision place(PlacementRequest request, UpstreamLoad load, long nowMs) {
-    load.holdSlot(request.key(), responseTimeEstimator.processingMs(request), nowMs);
-    placedRequests.put(request.key(), new PlacedRequest(request, load.registration(), nowMs));
-    return new PlacementDecision.Placed(request.key(), load.registration());
+  private PlacementDecision place(PlacementRequest request, UpstreamLoad best, long nowMs) {
+    double processingMs = responseTimeEstimator.processingMs(request);
+    return openPlacements.place(request, best, processingMs, nowMs);
   }
 
   private double expectedWaitMs(PlacementRequest request) {
     return (queue.size() + 1) * upstreams.serviceIntervalMs(request);
   }
-
-  /** Finds the upstream of a placement, unless it has restarted since. */
-  private Optional<UpstreamLoad> findLoad(PlacedRequest placed) {
-    return upstreams.find(placed.upstream.id(), placed.upstream.startedAtMs());
-  }
-
-  private record PlacedRequest(
-      PlacementRequest request, UpstreamRegistration upstream, long placedAtMs) {}
 }
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamLoad.java
@@ -12,7 +12,7 @@
  * because other workloads on the same machine start and stop. An overdue request on a held slot
  * also indicates a slowdown.
  *
- * <p>Confined to one thread.
+ * <p>Everything in it belongs to the registered start of the upstream. Confined to one thread.
  */
 final class UpstreamLoad {
   private static final double SLOWDOWN_DECAY_MS = 400;
@@ -32,6 +32,7 @@
   private final Map<Integer, Long> lastResponseByHost = new HashMap<>();
   private final Map<Integer, Long> heldOffUntilByHost = new HashMap<>();
   private final WarmupRateLimiter warmupRateLimiter = new WarmupRateLimiter();
+  private LimitState limit = new LimitState();
   private UpstreamRegistration registration;
   private long coldUntilMs;
   private double reportedSlowdown = 1;
@@ -59,6 +60,7 @@
       heldSlots.clear();
       lastResponseByHost.clear();
       heldOffUntilByHost.clear();
+      limit = new LimitState();
       leaving = false;
       faultRate = 0;
       refusalRate = 0;
@@ -96,6 +98,12 @@
     if (notice.holdOffMs() > 0) {
       heldOffUntilByHost.merge(hostHash, nowMs + notice.holdOffMs(), Math::max);
     }
+    notice.limit().ifPresent(said -> limit.record(said, nowMs));
+  }
+
+  /** Returns the limit of the registered start, and the count of the requests placed on it. */
+  LimitState limit() {
+    return limit;
   }
 
   /** Checks whether the upstream has said that it leaves, to any host. */
@@ -244,7 +252,8 @@
         + ",age_ms="
         + slowdownAgeMs(nowMs)
         + ",faults="
-        + Math.round(faultRate * ReportedLoad.NORMAL_SLOWDOWN_PERCENT);
+        + Math.round(faultRate * ReportedLoad.NORMAL_SLOWDOWN_PERCENT)
+        + limit.describe(nowMs);
   }
 
   /** Releases slots that have been held so long that no report is expected any more. */
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
@@ -14,12 +14,14 @@
 /**
  * The upstreams of one service as its scheduler sees them, and the choice among them.
  *
- * <p>Invariant: an upstream that takes no request of a host at all, or that has no free slot, is
- * never chosen. Confined to one thread.
+ * <p>Invariant: an upstream that has no free slot, that takes no requests of the host or that has
+ * reached its limit is never chosen. Confined to one thread.
  */
 final class UpstreamPool {
   private static final long LOAD_FRESHNESS_MS = 150;
   private static final double MEAN_SLOWDOWN_SMOOTHING = 0.05;
+  private static final double MS_PER_SECOND = 1_000;
+  private static final double MAX_SERVICE_INTERVAL_MS = 60_000;
 
   /** Costs that differ by less are considered equal. */
   private static final double EQUAL_COST_MS = 2;
@@ -31,6 +33,7 @@
   private final UpstreamStarts starts = new UpstreamStarts();
   private double meanSlowdown = 1.3;
   private int warmupLimit;
+  private double limitShare;
 
   UpstreamPool(
       SchedulerSettings settings,
@@ -53,6 +56,7 @@
       } else {
         load.updateRegistration(usableUpstream, nowMs);
       }
+      load.limit().updateShare(limitShare, nowMs);
       nextLoads.put(usableUpstream.id(), load);
       starts.recordUse(usableUpstream, nowMs);
     }
@@ -61,6 +65,15 @@
     loads.putAll(nextLoads);
   }
 
+  /** Sets the share of the upstreams' limits that this scheduler may use. */
+  void updateLimitShare(double share, long nowMs) {
+    if (share == limitShare) {
+      return;
+    }
+    limitShare = share;
+    loads.values().forEach(upstream -> upstream.limit().updateShare(share, nowMs));
+  }
+
   /** Finds an upstream, whichever start of it is in use. */
   Optional<UpstreamLoad> find(String upstreamId) {
     return Optional.ofNullable(loads.get(upstreamId));
@@ -108,7 +121,9 @@
         || request.excludedUpstreams().contains(upstream.registration().id())) {
       return Double.POSITIVE_INFINITY;
     }
-    return upstream.heldOffMs(request.key().hostHash(), nowMs);
+    return Math.max(
+        upstream.heldOffMs(request.key().hostHash(), nowMs),
+        upstream.limit().timeUntilAllowedMs(nowMs));
   }
 
   /** Finds the upstream on which a request is served best now. */
@@ -156,8 +171,16 @@
 
   /** Returns the interval at which the upstreams can take requests like this one. */
   double serviceIntervalMs(PlacementRequest request) {
-    int slots = loads.values().stream().mapToInt(upstream -> upstream.registration().slots()).sum();
-    return responseTimeEstimator.processingMs(request) * meanSlowdown / Math.max(1, slots);
+    double slotMs = responseTimeEstimator.processingMs(request) * meanSlowdown;
+    if (loads.isEmpty()) {
+      return slotMs;
+    }
+    double requestsPerMs = 0;
+    for (UpstreamLoad upstream : loads.values()) {
+      double allowedPerMs = upstream.limit().requestsPerSecond() / MS_PER_SECOND;
+      requestsPerMs += Math.min(upstream.registration().slots() / slotMs, allowedPerMs);
+    }
+    return Math.min(MAX_SERVICE_INTERVAL_MS, 1 / requestsPerMs);
   }
 
   /**
@@ -189,6 +212,7 @@
         && upstream.probeAgeMs(nowMs) >= LOAD_FRESHNESS_MS
         && upstream.hasFreeSlot(nowMs)
         && !upstream.isLeaving()
+        && !upstream.limit().isLimited()
         && !upstream.isBackingOff(nowMs)
         && !upstream.isCold(nowMs);
   }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -214,7 +214,7 @@
     scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
     PlacementRequest lost = request(0);
     one(lost, 0);
-    scheduler.cancel(lost.key());
+    scheduler.cancel(lost.key(), 1);
     assertThat(placedOn(one(request(0), 1))).isEqualTo("a");
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -143,7 +143,7 @@
   void cancelQueued(String service, PlacementKey key) {
     Scheduler scheduler = schedulersByService.get(service);
     if (scheduler != null) {
-      scheduler.cancel(key);
+      scheduler.cancel(key, clock.getAsLong());
     }
   }
 
