--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -1,13 +1,11 @@
 package dev.cactusstack.decisions.placing;
 
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -20,31 +18,22 @@
  * queued than can meet their objective, the oldest is rejected immediately. Requests that can no
  * longer meet their objective get only the slots that the others do not need.
  *
- * <p>Invariant: no upstream holds more requests of this scheduler than it has slots. Confined to
- * one thread.
+ * <p>Invariants: no upstream holds more requests of this scheduler than it has slots. Each
+ * placement on an upstream that is known to limit its requests is counted against this scheduler's
+ * share of the limit. Confined to one thread.
  */
 public final class Scheduler {
-  private static final long LOAD_FRESHNESS_MS = 150;
   private static final double ARRIVAL_RATE_DECAY_MS = 1_000;
-  private static final double MEAN_SLOWDOWN_SMOOTHING = 0.05;
-  private static final long MAX_SLOT_HOLD_MS = 10_000;
   private static final double NO_UPSTREAM_RETRY_AFTER_MS = 300;
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
-  /** Costs that differ by less are considered equal. */
-  private static final double EQUAL_COST_MS = 2;
-
-  private final SchedulerSettings settings;
-  private final RandomGenerator random;
-  private final Map<String, UpstreamLoad> loads = new HashMap<>();
-  private final Map<PlacementKey, PlacedRequest> placedRequests = new HashMap<>();
+  private final UpstreamPool upstreams;
+  private final OpenPlacements openPlacements;
   private final RequestQueue queue = new RequestQueue();
   private final ProcessingTimes processingTimes = new ProcessingTimes();
   private final ResponseTimeEstimator responseTimeEstimator;
   private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule();
-  private double meanSlowdown = 1.3;
-  private int warmupLimit;
   private double arrivalRate;
   private long arrivalRateAtMs;
 
@@ -56,9 +45,9 @@
    *     knowing any load do not all choose the same one
    */
   public Scheduler(SchedulerSettings settings, RandomGenerator random) {
-    this.settings = settings;
-    this.random = random;
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
+    this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator);
+    this.openPlacements = new OpenPlacements(upstreams);
   }
 
   /**
@@ -70,19 +59,30 @@
    */
   public void updateUpstreams(
       ServiceSettings serviceSettings, Collection<UpstreamRegistration> usable, long nowMs) {
-    warmupLimit = settings.warmupRequestLimit(serviceSettings.warmupRequestsPerSecond());
-    Map<String, UpstreamLoad> nextLoads = new HashMap<>();
-    for (UpstreamRegistration usableUpstream : usable) {
-      UpstreamLoad load = loads.get(usableUpstream.id());
-      if (load == null) {
-        load = new UpstreamLoad(usableUpstream, nowMs);
-      } else {
-        load.updateRegistration(usableUpstream, nowMs);
-      }
-      nextLoads.put(usableUpstream.id(), load);
-    }
-    loads.clear();
-    loads.putAll(nextLoads);
+    upstreams.update(serviceSettings, usable, nowMs);
+  }
+
+  /**
+   * Sets the share of the upstreams' limits that this scheduler may use. It is 0 at first, with
+   * which no request is placed on a limited upstream.
+   *
+   * @param share the share, from 0 to 1
+   * @param nowMs the current time on the same clock
+   */
+  public void updateLimitShare(double share, long nowMs) {
+    upstreams.updateLimitShare(share, nowMs);
+  }
+
+  /**
+   * Records a limit that another host knows of.
+   *
+   * @param limit the limit; ignored unless that start of the upstream is in use
+   * @param nowMs the current time on the same clock
+   */
+  public void recordLimit(UpstreamLimit limit, long nowMs) {
+    upstreams
+        .find(limit.upstreamId(), limit.startedAtMs())
+        .ifPresent(load -> load.limit().record(limit.limit(), nowMs));
   }
 
   /**
@@ -94,7 +94,7 @@
    * @return the decision on the request; a rejection of another, queued request may follow it
    */
   public List<PlacementDecision> submit(PlacementRequest request, long nowMs) {
-    Optional<PlacementDecision> existing = findDecision(request.key());
+    Optional<PlacementDecision> existing = findDecision(request.key(), nowMs);
     if (existing.isPresent()) {
       return List.of(existing.get());
     }
@@ -103,13 +103,12 @@
     if (request.hedge()) {
       return List.of(placeHedge(request, nowMs));
     }
-    List<UpstreamLoad> candidates = candidates(request);
-    if (candidates.isEmpty()) {
+    double takenMs = upstreams.timeUntilTakenMs(request, nowMs);
+    if (takenMs == Double.POSITIVE_INFINITY) {
       return List.of(reject(request, NO_UPSTREAM_RETRY_AFTER_MS, nowMs));
     }
-    long heldOffMs = heldOffMs(candidates, request, nowMs);
-    if (heldOffMs > 0 && heldOffMs > maxWaitMs(request)) {
-      return List.of(new PlacementDecision.Rejected(request.key(), heldOffMs));
+    if (takenMs > 0 && takenMs > maxWaitMs(request)) {
+      return List.of(reject(request, takenMs, nowMs));
     }
     var candidate = new RequestQueue.QueuedRequest(request, nowMs, 0);
     Optional<PlacementDecision> placement = tryPlace(candidate, nowMs);
@@ -126,43 +125,25 @@
     return List.of(new PlacementDecision.Queued(request.key()));
   }
 
-  /** Returns the upstreams that the request may ever be placed on. */
-  private List<UpstreamLoad> candidates(PlacementRequest request) {
-    return loads.values().stream()
-        .filter(upstream -> !upstream.isLeaving())
-        .filter(upstream -> !request.excludedUpstreams().contains(upstream.registration().id()))
-        .toList();
-  }
-
-  /** Returns when the first of several upstreams takes requests of the host, in milliseconds. */
-  private static long heldOffMs(
-      List<UpstreamLoad> candidates, PlacementRequest request, long nowMs) {
-    return candidates.stream()
-        .mapToLong(upstream -> upstream.heldOffMs(request.key().hostHash(), nowMs))
-        .min()
-        .orElse(0);
-  }
-
   /**
    * Records what an upstream has said about itself to a host.
    *
-   * @param upstreamId the upstream's identity
+   * @param upstream the upstream, in the start that said it
    * @param hostHash hash of the host's name
    * @param notice what it said
    * @param nowMs the current time on the same clock
    */
-  public void recordNotice(String upstreamId, int hostHash, UpstreamNotice notice, long nowMs) {
-    UpstreamLoad load = loads.get(upstreamId);
-    if (load != null) {
-      load.recordNotice(hostHash, notice, nowMs);
-    }
+  public void recordNotice(
+      UpstreamRegistration upstream, int hostHash, UpstreamNotice notice, long nowMs) {
+    upstreams
+        .find(upstream.id(), upstream.startedAtMs())
+        .ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
   }
 
-  private Optional<PlacementDecision> findDecision(PlacementKey key) {
-    PlacedRequest placed = placedRequests.get(key);
-    UpstreamLoad load = placed == null ? null : loads.get(placed.upstreamId());
-    if (load != null) {
-      return Optional.of(new PlacementDecision.Placed(key, load.registration()));
+  private Optional<PlacementDecision> findDecision(PlacementKey key, long nowMs) {
+    Optional<PlacementDecision> placed = openPlacements.findDecision(key, nowMs);
+    if (placed.isPresent()) {
+      return placed;
     }
     return queue.count(queued -> queued.request().key().equals(key)) > 0
         ? Optional.of(new PlacementDecision.Queued(key))
@@ -209,7 +190,7 @@
             0,
             request.objectiveRemainingMs()
                 - responseTimeEstimator.processingMs(request) * ON_TIME_SAFETY_FACTOR);
-    return 1 + maxWait / serviceIntervalMs(request);
+    return 1 + maxWait / upstreams.serviceIntervalMs(request);
   }
 
   /**
@@ -221,20 +202,15 @@
    * @return decisions on queued requests that were placed
    */
   public List<PlacementDecision> report(AttemptReport attempt, long nowMs) {
-    recordNotice(attempt.upstreamId(), attempt.key().hostHash(), attempt.notice(), nowMs);
-    PlacedRequest placed = placedRequests.remove(attempt.key());
-    if (placed == null) {
+    Optional<PlacementRequest> request = openPlacements.end(attempt, nowMs);
+    if (request.isEmpty()) {
       return List.of();
     }
-    UpstreamLoad load = loads.get(attempt.upstreamId());
-    if (load != null) {
-      load.recordAttempt(attempt, nowMs);
-    }
     if (attempt.outcome() == AttemptOutcome.ANSWERED && attempt.load().isPresent()) {
-      updateMeanSlowdown(attempt.load().get());
+      upstreams.updateMeanSlowdown(attempt.load().get());
       processingTimes.recordResponse(
-          placed.request.route(),
-          placed.request.latencyObjectiveMs(),
+          request.get().route(),
+          request.get().latencyObjectiveMs(),
           attempt.durationMs(),
           attempt.load().get().slowdown());
     }
@@ -250,32 +226,7 @@
    * @return the upstreams to probe now, those with the oldest report first
    */
   public List<UpstreamRegistration> selectProbeTargets(long nowMs) {
-    List<UpstreamLoad> stale = new ArrayList<>();
-    int good = 0;
-    for (UpstreamLoad upstream : loads.values()) {
-      if (upstream.isKnownGood(LOAD_FRESHNESS_MS, nowMs) && upstream.hasFreeSlot(nowMs)) {
-        good++;
-      } else if (isProbeUseful(upstream, nowMs)) {
-        stale.add(upstream);
-      }
-    }
-    int wanted = (int) Math.ceil(arrivalRate(nowMs) * LOAD_FRESHNESS_MS) - good;
-    stale.sort(Comparator.comparingLong(upstream -> -upstream.slowdownAgeMs(nowMs)));
-    List<UpstreamRegistration> targets = new ArrayList<>();
-    for (UpstreamLoad upstream : stale.subList(0, Math.max(0, Math.min(wanted, stale.size())))) {
-      upstream.recordProbeSent(nowMs);
-      targets.add(upstream.registration());
-    }
-    return targets;
-  }
-
-  private static boolean isProbeUseful(UpstreamLoad upstream, long nowMs) {
-    return upstream.slowdownAgeMs(nowMs) >= LOAD_FRESHNESS_MS
-        && upstream.probeAgeMs(nowMs) >= LOAD_FRESHNESS_MS
-        && upstream.hasFreeSlot(nowMs)
-        && !upstream.isLeaving()
-        && !upstream.isBackingOff(nowMs)
-        && !upstream.isCold(nowMs);
+    return upstreams.selectProbeTargets(arrivalRate(nowMs), nowMs);
   }
 
   /** Returns the exponentially weighted mean arrival rate, in requests per millisecond. */
@@ -293,30 +244,23 @@
    */
   public List<PlacementDecision> recordProbeResponse(
       String upstreamId, ReportedLoad reportedLoad, long nowMs) {
-    UpstreamLoad load = loads.get(upstreamId);
-    if (load != null) {
-      load.recordProbeResponse(reportedLoad, nowMs);
-      updateMeanSlowdown(reportedLoad);
+    Optional<UpstreamLoad> load = upstreams.find(upstreamId);
+    if (load.isPresent()) {
+      load.get().recordProbeResponse(reportedLoad, nowMs);
+      upstreams.updateMeanSlowdown(reportedLoad);
     }
     return placeQueued(nowMs);
   }
 
-  private void updateMeanSlowdown(ReportedLoad reportedLoad) {
-    meanSlowdown += (reportedLoad.slowdown() - meanSlowdown) * MEAN_SLOWDOWN_SMOOTHING;
-  }
-
   /**
    * Cancels a request: removes it from the queue and releases its slot.
    *
-   * @param key the key of the request
+   * @param key the key of the request, of which nothing was sent
+   * @param nowMs the current time on the same clock
    */
-  public void cancel(PlacementKey key) {
+  public void cancel(PlacementKey key, long nowMs) {
     queue.remove(key);
-    PlacedRequest placed = placedRequests.remove(key);
-    UpstreamLoad load = placed == null ? null : loads.get(placed.upstreamId());
-    if (load != null) {
-      load.releaseSlot(key);
-    }
+    openPlacements.cancel(key, nowMs);
   }
 
   /**
@@ -327,8 +271,7 @@
    * @return the decisions
    */
   public List<PlacementDecision> tick(long nowMs) {
-    loads.values().forEach(upstream -> upstream.releaseSlotsHeldBefore(nowMs - MAX_SLOT_HOLD_MS));
-    placedRequests.values().removeIf(placed -> placed.placedAtMs < nowMs - MAX_SLOT_HOLD_MS);
+    openPlacements.expire(nowMs);
     List<PlacementDecision> decisions = new ArrayList<>(placeQueued(nowMs));
     boolean overloaded = isOverloaded(nowMs);
     List<RequestQueue.QueuedRequest> expired =
@@ -358,11 +301,14 @@
         request.latencyObjectiveMs(), request.deadlineRemainingMs() * MAX_WAIT_SHARE_OF_DEADLINE);
   }
 
-  private PlacementDecision reject(PlacementRequest request, double minQueuedWorkMs, long nowMs) {
-    double queuedWorkMs = Math.max(minQueuedWorkMs, expectedWaitMs(request));
-    return new PlacementDecision.Rejected(
-        request.key(),
-        retryAfterSchedule.nextRetryAfterMs(queuedWorkMs, serviceIntervalMs(request), nowMs));
+  /** Rejects a request that can be served after some time at the earliest. */
+  private PlacementDecision reject(PlacementRequest request, double minWaitMs, long nowMs) {
+    long retryAfterMs =
+        retryAfterSchedule.nextRetryAfterMs(
+            Math.max(minWaitMs, expectedWaitMs(request)),
+            upstreams.serviceIntervalMs(request),
+            nowMs);
+    return new PlacementDecision.Rejected(request.key(), Math.max((long) minWaitMs, retryAfterMs));
   }
 
   /**
@@ -383,10 +329,10 @@
    *     the number of queued requests
    */
   public String describeUpstream(String upstreamId, long nowMs) {
-    UpstreamLoad upstream = loads.get(upstreamId);
-    return upstream == null
-        ? "unknown"
-        : upstream.describe(meanSlowdown, nowMs) + ",waiting=" + queue.size();
+    return upstreams
+        .describe(upstreamId, nowMs)
+        .map(load -> load + ",waiting=" + queue.size())
+        .orElse("unknown");
   }
 
   private List<PlacementDecision> placeQueued(long nowMs) {
@@ -420,73 +366,19 @@
 
   private Optional<PlacementDecision> tryPlace(
       RequestQueue.QueuedRequest queued, double limitMs, long nowMs) {
-    Optional<UpstreamLoad> bestUpstream = findBestUpstream(queued.request(), nowMs);
-    if (bestUpstream.isEmpty()) {
-      return Optional.empty();
-    }
-    double expectedMs =
-        responseTimeEstimator.responseMs(bestUpstream.get(), queued.request(), meanSlowdown, nowMs);
-    return expectedMs <= limitMs
-        ? Optional.of(place(queued.request(), bestUpstream.get(), nowMs))
-        : Optional.empty();
+    PlacementRequest request = queued.request();
+    return upstreams
+        .findBest(request, nowMs)
+        .filter(best -> upstreams.responseMs(best, request, nowMs) <= limitMs)
+        .map(best -> place(request, best, nowMs));
   }
 
-  private PlacementDecision place(PlacementRequest request, UpstreamLoad load, long nowMs) {
-    load.holdSlot(request.key(), responseTimeEstimator.processingMs(request), nowMs);
-    placedRequests.put(request.key(), new PlacedRequest(request, load.registration().id(), nowMs));
-    return new PlacementDecision.Placed(request.key(), load.registration());
-  }
-
-  private Optional<UpstreamLoad> findBestUpstream(PlacementRequest request, long nowMs) {
-    List<UpstreamLoad> cheapest = new ArrayList<>();
-    double lowestCostMs = Double.MAX_VALUE;
-    boolean allBackingOff =
-        loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
-    for (UpstreamLoad upstream : loads.values()) {
-      if (!isEligible(upstream, request, allBackingOff, nowMs)) {
-        continue;
-      }
-      double costMs = responseTimeEstimator.costMs(upstream, request, meanSlowdown, nowMs);
-      if (costMs < lowestCostMs - EQUAL_COST_MS) {
-        cheapest.clear();
-      }
-      if (costMs < lowestCostMs + EQUAL_COST_MS) {
-        cheapest.add(upstream);
-      }
-      lowestCostMs = Math.min(lowestCostMs, costMs);
-    }
-    return cheapest.isEmpty()
-        ? Optional.empty()
-        : Optional.of(cheapest.get(random.nextInt(cheapest.size())));
-  }
-
-  private boolean isEligible(
-      UpstreamLoad upstream, PlacementRequest request, boolean allBackingOff, long nowMs) {
-    if (!upstream.hasFreeSlot(nowMs)
-        || request.excludedUpstreams().contains(upstream.registration().id())) {
-      return false;
-    }
-    if (upstream.isLeaving() || upstream.heldOffMs(request.key().hostHash(), nowMs) > 0) {
-      return false;
-    }
-    if (upstream.isCold(nowMs) && !upstream.warmupRateAllows(warmupLimit, nowMs)) {
-      return false;
-    }
-    if (allBackingOff) {
-      return true;
-    }
-    return !upstream.isBackingOff(nowMs) && (!upstream.isOnTrial() || upstream.isIdle());
+  private PlacementDecision place(PlacementRequest request, UpstreamLoad best, long nowMs) {
+    double processingMs = responseTimeEstimator.processingMs(request);
+    return openPlacements.place(request, best, processingMs, nowMs);
   }
 
   private double expectedWaitMs(PlacementRequest request) {
-    return (queue.size() + 1) * serviceIntervalMs(request);
+    return (queue.size() + 1) * upstreams.serviceIntervalMs(request);
   }
-
-  /** Returns the interval at which the service can take requests like this one. */
-  private double serviceIntervalMs(PlacementRequest request) {
-    int slots = loads.values().stream().mapToInt(upstream -> upstream.registration().slots()).sum();
-    return responseTimeEstimator.processingMs(request) * meanSlowdown / Math.max(1, slots);
-  }
-
-  private record PlacedRequest(PlacementRequest request, String upstreamId, long placedAtMs) {}
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
+import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
@@ -175,6 +176,7 @@
             schedulerSettings,
             upstreams,
             prober,
+            new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts),
             () -> peers.isStoreConfirmed(clock.getAsLong()),
             random,
             PeerTable.hash(settings.host()));
@@ -186,6 +188,7 @@
             link,
             peers,
             schedulers,
+            noticeReader.notices(),
             settings.host(),
             random.nextLong(MAX_INITIAL_SEQUENCE_NUMBER));
     var retryBudget =
@@ -236,6 +239,10 @@
         "cactusstack_upstream_hold_offs",
         "Times that an upstream asked this host to send nothing for a while",
         notices::holdOffCount);
+    registry.registerCounter(
+        "cactusstack_upstream_limits",
+        "Times that this host learned that an upstream limits the requests of all hosts",
+        notices::limitCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
     registry.registerCounter(
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -1,18 +1,18 @@
 package dev.cactusstack.gateway.scheduling;
 
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,20 +36,21 @@
   private static final long RESEND_AFTER_MS = 35;
   private static final long RESPONSE_TIMEOUT_MS = 50;
   private static final int MAX_REMOTE_ATTEMPTS = 2;
-  private static final int REPEATED_REPORTS = 2;
 
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
-  private final Link link;
+  private final MessageSender link;
   private final PeerTable peers;
   private final LocalSchedulers schedulers;
+  private final UpstreamNotices notices;
   private final SchedulerSelector selector;
   private final int selfHash;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<Long, Address> schedulerByRequest = new HashMap<>();
   private final Map<Integer, Address> requesters = new HashMap<>();
-  private final Map<Address, Deque<AttemptReport>> recentReports = new HashMap<>();
+  private final Map<String, Optional<HostRegistration>> lastSchedulers = new HashMap<>();
+  private final RecentReports recentReports = new RecentReports();
   private long lastSequenceNumber;
 
   /**
@@ -61,6 +62,7 @@
    * @param link sends messages to other hosts
    * @param peers tracks which hosts are alive
    * @param schedulers this host's own schedulers
+   * @param notices what upstreams have said about themselves to this host
    * @param hostName this host's name
    * @param initialSequenceNumber the number before the first request, different each time the host
    *     starts
@@ -69,9 +71,10 @@
       EventLoop loop,
       LongSupplier clock,
       EventLog log,
-      Link link,
+      MessageSender link,
       PeerTable peers,
       LocalSchedulers schedulers,
+      UpstreamNotices notices,
       String hostName,
       long initialSequenceNumber) {
     this.loop = loop;
@@ -80,6 +83,7 @@
     this.link = link;
     this.peers = peers;
     this.schedulers = schedulers;
+    this.notices = notices;
     this.selfHash = PeerTable.hash(hostName);
     this.selector = new SchedulerSelector(clock, peers, selfHash);
     this.lastSequenceNumber = initialSequenceNumber;
@@ -119,15 +123,8 @@
       schedulers.report(service, attempt);
       return;
     }
-    Deque<AttemptReport> previousReports =
-        recentReports.computeIfAbsent(placingHost, a -> new ArrayDeque<>());
-    List<AttemptReport> sentReports = new ArrayList<>();
-    sentReports.add(attempt);
-    sentReports.addAll(previousReports);
-    previousReports.addFirst(attempt);
-    while (previousReports.size() > REPEATED_REPORTS) {
-      previousReports.removeLast();
-    }
+    List<AttemptReport> sentReports =
+        recentReports.add(placingHost, service, attempt, clock.getAsLong());
     link.send(new LinkMessage.AttemptsEnded(service, sentReports), placingHost);
   }
 
@@ -174,6 +171,8 @@
       ended.reports().forEach(attempt -> schedulers.report(ended.service(), attempt));
     } else if (message instanceof LinkMessage.RequestCancelled cancelled) {
       schedulers.cancelQueued(cancelled.service(), cancelled.key());
+    } else if (message instanceof LinkMessage.LimitsKnown known) {
+      schedulers.recordLimits(known.service(), known.limits());
     }
   }
 
@@ -182,20 +181,41 @@
   }
 
   private void askScheduler(PendingRequest pendingRequest) {
-    Optional<Address> remoteScheduler =
+    Optional<HostRegistration> scheduler =
         pendingRequest.attempts < MAX_REMOTE_ATTEMPTS
             ? selector.remoteScheduler(pendingRequest.service)
             : Optional.empty();
     pendingRequest.attempts++;
     pendingRequests.put(pendingRequest.request.key().sequenceNumber(), pendingRequest);
-    if (remoteScheduler.isEmpty()) {
+    tellLimits(pendingRequest.service, scheduler);
+    if (scheduler.isEmpty()) {
       pendingRequest.scheduler = null;
       schedulers.requestDecision(pendingRequest.service, pendingRequest.request);
       return;
     }
-    pendingRequest.scheduler = remoteScheduler.get();
+    Address address = scheduler.get().linkAddress();
+    pendingRequest.scheduler = address;
     pendingRequest.resent = false;
-    sendRequest(pendingRequest, remoteScheduler.get(), RESEND_AFTER_MS);
+    sendRequest(pendingRequest, address, RESEND_AFTER_MS);
+  }
+
+  /**
+   * Tells a scheduler what this host knows of the limits of a service's upstreams, before the first
+   * request after requests to another scheduler, or to an earlier start of the same one.
+   *
+   * @param scheduler the scheduler; empty if it is this host's own
+   */
+  private void tellLimits(String service, Optional<HostRegistration> scheduler) {
+    if (scheduler.equals(lastSchedulers.put(service, scheduler))) {
+      return;
+    }
+    List<UpstreamLimit> limits = notices.limits(service, clock.getAsLong());
+    if (limits.isEmpty()) {
+      return;
+    }
+    scheduler.ifPresentOrElse(
+        host -> link.send(new LinkMessage.LimitsKnown(service, limits), host.linkAddress()),
+        () -> schedulers.recordLimits(service, limits));
   }
 
   private void sendRequest(PendingRequest pendingRequest, Address remoteScheduler, long timeoutMs) {
@@ -310,16 +330,19 @@
       @Nullable PendingRequest pendingRequest,
       PlacementDecision.Placed placementDecision,
       Address from) {
-    if (from.equals(schedulerByRequest.get(placementDecision.key().sequenceNumber()))) {
+    PlacementKey key = placementDecision.key();
+    boolean inUse = from.equals(schedulerByRequest.get(key.sequenceNumber()));
+    if (inUse || recentReports.contains(from, key)) {
       return;
     }
     var unused =
         new AttemptReport(
-            placementDecision.key(),
+            key,
             placementDecision.upstream().id(),
             AttemptOutcome.UNUSED,
             0,
-            Optional.empty());
+            Optional.empty(),
+            notices.current(placementDecision.upstream(), clock.getAsLong()));
     String service =
         pendingRequest != null ? pendingRequest.service : placementDecision.upstream().service();
     link.send(new LinkMessage.AttemptsEnded(service, List.of(unused)), from);
