Configuration: announce a version only after the data path uses it

A listener that failed left a version announced that the data path never used.

Cause: ConfigurationController.apply called announceVersion before the listeners. The order is reversed now.

Evidence: ConfigurationControllerTest#shouldAnnounceAVersionOnlyWhenTheListenersUseIt saw version 5 announced when the listener was called, instead of 0, before the change; it passes now.

--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -27,8 +27,9 @@
  * Maintains the configuration in force. A few readers in each data centre read the platform's
  * table; every host fetches newer rows from hosts that have them.
  *
- * <p>Invariant: the version in force never decreases, and a row is replaced only by one with a
- * higher version. Confined to the control loop, except {@link #inForce} and {@link #refresh}.
+ * <p>Invariants: the version in force never decreases, a row is replaced only by one with a higher
+ * version, and a version is announced only after the listeners use it. Confined to the control
+ * loop, except the public methods.
  */
 public final class ConfigurationController {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -242,6 +243,7 @@
       return;
     }
     inForce = after;
+    listeners.forEach(l -> l.accept(after));
     members.announceVersion(after.version());
     LOG.atInfo().log(
         "%s",
@@ -249,6 +251,5 @@
             .with("version", after.version())
             .with("before", before.version())
             .with("source", source));
-    listeners.forEach(l -> l.accept(after));
   }
 }
