Operators: an accepted version counts as the newest before this host has applied it

Requests then still ran in the data centre that was taken out.

The host records the version of an accepted edit before it answers the operator, and the view of versions in force counts from the newest recorded version. Until the loop has run, this host shows as lagging.

Evidence: OperatorsViewTest#shouldNotReportAnAcceptedVersionInForceWhenThisHostHasNotAppliedIt, with a paused control loop, saw version 0 in force instead of 2 before the change; it passes now.

--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -57,6 +58,7 @@
   private final long readIntervalMs;
   private final List<Consumer<ConfigurationTable>> listeners = new ArrayList<>();
   private volatile ConfigurationTable inForce = ConfigurationTable.EMPTY;
+  private final AtomicLong newestVersion = new AtomicLong();
   private volatile boolean storeReachable;
   private boolean reading;
   private long nextReadAtMs;
@@ -99,6 +101,24 @@
     return inForce;
   }
 
+  /**
+   * Returns the newest version that this host knows of, which may not be in force yet. Thread-safe.
+   *
+   * @return the version
+   */
+  public long newestVersion() {
+    return Math.max(newestVersion.get(), inForce.version());
+  }
+
+  /**
+   * Records a version that contains a committed edit. Thread-safe.
+   *
+   * @param version the version
+   */
+  void recordCommitted(long version) {
+    newestVersion.accumulateAndGet(version, Math::max);
+  }
+
   /**
    * Returns whether the last read of the platform's table succeeded. Thread-safe.
    *
--- a/host/src/main/java/dev/cactusstack/host/control/EditService.java
+++ b/host/src/main/java/dev/cactusstack/host/control/EditService.java
@@ -53,7 +53,7 @@
     return new EditExecution(plan)
         .readAndCommit(1)
         .exceptionally(t -> new EditOutcome.Unknown(plan.operation(), internal(t)))
-        .thenApply(o -> logged(plan, o));
+        .thenApply(o -> recorded(plan, o));
   }
 
   private static Problem internal(Throwable t) {
@@ -61,7 +61,11 @@
         ProblemKind.INTERNAL, String.valueOf(t), "repeat the edit with the same operation id");
   }
 
-  private static EditOutcome logged(ChangePlan plan, EditOutcome o) {
+  private EditOutcome recorded(ChangePlan plan, EditOutcome o) {
+    if (o instanceof EditOutcome.Accepted a) {
+      // The control loop may apply the rows only after the operator's next query.
+      configuration.recordCommitted(a.version());
+    }
     LOG.atInfo().log(
         "%s",
         Event.named("edit")
--- a/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
+++ b/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
@@ -73,7 +73,7 @@
     long newestVersion =
         live.stream()
             .mapToLong(m -> m.info().configVersion())
-            .reduce(configuration.inForce().version(), Math::max);
+            .reduce(configuration.newestVersion(), Math::max);
     long upToDate = live.stream().filter(m -> m.info().configVersion() >= newestVersion).count();
     ObjectNode n =
         Json.newObject()
