Configuration: a late page no longer leaves rows out of the table in force

A host that received the table from another host could announce a version in force although rows of it were missing, and never fetched them, because it asks only for rows changed since. To callers of that host a service or a data centre of it was unknown, and a data centre taken out stayed in, until the row was edited again. It needs a table or an edit of more than three rows and a page that takes more than 200 ms, as on an overloaded host or between regions.

Cause: a page does not say which query it answers. When a query timed out, the transfer began again from the version in force and dropped the rows received; the late page of the earlier transfer was then taken as the answer to the new query, and the rows before it were skipped.

A transfer from a host is now kept and its cursor only moves forward: a repeated query asks for the same page, and a host queried in between does not reset it. A late page therefore overlaps with the rows received and leaves none out. A page of an older version than the transfer's is ignored. The messages are unchanged.

--- a/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/ConfigurationController.java
@@ -15,7 +15,9 @@
 import dev.cactusstack.storage.TableStore;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -57,15 +59,25 @@
   private final Ticker ticker;
   private final long readIntervalMs;
   private final List<Consumer<ConfigurationTable>> listeners = new ArrayList<>();
-  private volatile ConfigurationTable inForce = ConfigurationTable.EMPTY;
+  private final Map<Address, Transfer> transfers = new HashMap<>();
   private final AtomicLong newestVersion = new AtomicLong();
+  private volatile ConfigurationTable inForce = ConfigurationTable.EMPTY;
   private volatile boolean storeReachable;
   private boolean reading;
   private long nextReadAtMs;
   private @Nullable Pull pull;
 
-  /** A transfer of rows from another host, page by page. */
-  private record Pull(Address from, ChangeCursor cursor, ConfigurationTable rows, long sentAtMs) {}
+  /** An unanswered query. */
+  private record Pull(Address from, long sentAtMs) {}
+
+  /**
+   * The rows received from one host, page by page.
+   *
+   * <p>A page does not name the query that it answers. The cursor therefore only moves forward,
+   * also when a query is repeated or another host is queried in between: a late page then overlaps
+   * with the rows already received, and leaves none out.
+   */
+  private record Transfer(ChangeCursor cursor, ConfigurationTable rows) {}
 
   /**
    * Creates a controller without a configuration.
@@ -211,11 +223,7 @@
       return;
     }
     pull = null;
-    findNewerHost()
-        .ifPresent(
-            to ->
-                requestPage(
-                    to, ChangeCursor.afterVersion(inForce.version()), ConfigurationTable.EMPTY));
+    findNewerHost().ifPresent(this::requestPage);
   }
 
   private Optional<Address> findNewerHost() {
@@ -231,9 +239,16 @@
         .map(m -> m.info().link());
   }
 
-  private void requestPage(Address to, ChangeCursor after, ConfigurationTable rows) {
-    pull = new Pull(to, after, rows, ticker.millis());
-    sender.send(to, new LinkMessage(members.self(), List.of(), new LinkBody.ChangesQuery(after)));
+  private void requestPage(Address from) {
+    pull = new Pull(from, ticker.millis());
+    ChangeCursor after = transferFrom(from).cursor;
+    sender.send(from, new LinkMessage(members.self(), List.of(), new LinkBody.ChangesQuery(after)));
+  }
+
+  private Transfer transferFrom(Address from) {
+    return transfers.computeIfAbsent(
+        from,
+        a -> new Transfer(ChangeCursor.afterVersion(inForce.version()), ConfigurationTable.EMPTY));
   }
 
   void sendPage(Address from, LinkBody.ChangesQuery q) {
@@ -246,11 +261,17 @@
     if (p == null || !p.from.equals(from)) {
       return;
     }
-    ConfigurationTable rows = p.rows.merge(page.rows());
+    Transfer t = transferFrom(from);
+    boolean outdated = page.rows().version() < t.rows.version();
     ChangeCursor last = ChangeCursor.ofLastRow(page.rows());
-    if (page.hasMore() && last.compareTo(p.cursor) > 0) {
-      requestPage(from, last, rows);
-    } else if (!page.hasMore()) {
+    if (outdated || page.hasMore() && last.compareTo(t.cursor) <= 0) {
+      return;
+    }
+    ConfigurationTable rows = t.rows.merge(page.rows());
+    if (page.hasMore()) {
+      transfers.put(from, new Transfer(last, rows));
+      requestPage(from);
+    } else {
       pull = null;
       apply(rows, "host");
     }
@@ -263,6 +284,7 @@
       return;
     }
     inForce = after;
+    transfers.values().removeIf(t -> t.rows.version() <= after.version());
     listeners.forEach(l -> l.accept(after));
     members.announceVersion(after.version());
     LOG.atInfo().log(
--- a/host/src/test/java/dev/cactusstack/host/control/ConfigurationControllerTest.java
+++ b/host/src/test/java/dev/cactusstack/host/control/ConfigurationControllerTest.java
@@ -5,6 +5,10 @@
 import dev.cactusstack.decisions.membership.Member;
 import dev.cactusstack.decisions.membership.MemberInfo;
 import dev.cactusstack.decisions.membership.MemberStatus;
+import dev.cactusstack.decisions.membership.ProbeMessage;
+import dev.cactusstack.link.ChangeCursor;
+import dev.cactusstack.link.LinkBody;
+import dev.cactusstack.link.LinkMessage;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.ConfigurationTable;
 import dev.cactusstack.model.DataCentre;
@@ -13,22 +17,39 @@
 import dev.cactusstack.model.Route;
 import dev.cactusstack.model.RouteKey;
 import dev.cactusstack.storage.TableStore;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the controller in virtual time, with a table service that does not respond. */
 class ConfigurationControllerTest {
+  private static final int ROWS = 12;
+  private static final int ROWS_PER_PAGE = 3;
+  private static final long PULL_TIMEOUT_MS = 200;
   private static final HostId SELF = new HostId("a-1");
+  private static final Member NEWER_HOST = member(new HostId("a-2"), 7947, 1);
 
+  private long nowMs;
+  private final Queue<Query> sent = new ArrayDeque<>();
   private final MembershipController members =
-      new MembershipController(member(SELF, 7946, 0), (to, m) -> {}, () -> 0, new Random(1));
+      new MembershipController(member(SELF, 7946, 0), (to, m) -> {}, this::nowNanos, new Random(1));
   private final ConfigurationController configuration =
       new ConfigurationController(
-          new SilentStore(), members, (to, m) -> {}, Runnable::run, () -> 0, 1_000);
+          new SilentStore(), members, this::recordQuery, Runnable::run, this::nowNanos, 1_000);
+
+  /** A query that this host sent. */
+  private record Query(Address to, ChangeCursor cursor) {}
+
+  /** A page on the network. */
+  private record SentPage(Address from, LinkBody.ChangesPage page) {}
 
   /** A table service that never responds. */
   private static final class SilentStore implements TableStore {
@@ -44,9 +65,18 @@
     }
   }
 
+  private long nowNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(nowMs);
+  }
+
+  private void recordQuery(Address to, LinkMessage m) {
+    sent.add(new Query(to, ((LinkBody.ChangesQuery) m.body()).cursor()));
+  }
+
   private static Member member(HostId id, int port, long version) {
     Address a = new Address("127.0.0.1", port);
-    var info = new MemberInfo(1, new DataCentre("almaty-1"), a, a, a, version, false, List.of());
+    var info =
+        new MemberInfo(1 + version, new DataCentre("almaty-1"), a, a, a, version, false, List.of());
     return new Member(id, 1, MemberStatus.ALIVE, info);
   }
 
@@ -59,6 +89,17 @@
     return new ConfigurationTable(version, routes, new TreeMap<>());
   }
 
+  private void hear(Member m) {
+    members.receive(
+        m.info().link(),
+        new ProbeMessage.Ping(1),
+        new LinkMessage(m, List.of(), new LinkBody.FailureDetection(new ProbeMessage.Ping(1))));
+  }
+
+  private static LinkBody.ChangesPage answer(Query q, ConfigurationTable source) {
+    return q.cursor().readPage(source, ROWS_PER_PAGE);
+  }
+
   @Test
   void shouldAnnounceAVersionOnlyWhenTheListenersUseIt() {
     var announcedBefore = new ArrayList<Long>();
@@ -68,4 +109,73 @@
     assertThat(announcedBefore).containsExactly(0L);
     assertThat(members.members().get(SELF).info().configVersion()).isEqualTo(5);
   }
+
+  @Test
+  void shouldHaveEveryRowWhenAPageArrivesAfterItsQueryWasRepeated() {
+    ConfigurationTable source = table(ROWS, 1);
+    Address from = NEWER_HOST.info().link();
+    hear(NEWER_HOST);
+    configuration.tick();
+    configuration.receivePage(from, answer(sent.remove(), source));
+    LinkBody.ChangesPage latePage = answer(sent.remove(), source);
+    nowMs += PULL_TIMEOUT_MS;
+    configuration.tick();
+    configuration.receivePage(from, latePage);
+    while (!sent.isEmpty()) {
+      configuration.receivePage(from, answer(sent.remove(), source));
+    }
+    assertThat(configuration.inForce()).isEqualTo(source);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void shouldHaveEveryRowOfTheVersionInForceWhenPagesAreLateLostOrReordered(long seed) {
+    var random = new Random(seed);
+    List<ConfigurationTable> history = new ArrayList<>(List.of(ConfigurationTable.EMPTY));
+    history.add(table(ROWS, 1));
+    configuration.addListener(
+        t -> assertThat(t).as("seed " + seed).isEqualTo(history.get((int) t.version())));
+    var versions = new TreeMap<Address, Integer>();
+    List<Member> hosts = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      hosts.add(member(new HostId("b-" + i), 8_000 + i, 1));
+      versions.put(hosts.get(i).info().link(), 1);
+    }
+    hosts.forEach(this::hear);
+    List<SentPage> network = new ArrayList<>();
+    for (int step = 0; step < 4_000; step++) {
+      nowMs += random.nextInt(150);
+      if (random.nextInt(20) == 0) {
+        history.add(edited(history.get(history.size() - 1), random));
+      }
+      Member m = hosts.get(random.nextInt(hosts.size()));
+      if (random.nextInt(10) == 0) {
+        int version = history.size() - 1;
+        versions.put(m.info().link(), version);
+        hear(member(m.id(), m.info().link().port(), version));
+      }
+      configuration.tick();
+      while (!sent.isEmpty()) {
+        Query q = sent.remove();
+        ConfigurationTable source = history.get(versions.get(q.to()));
+        network.add(new SentPage(q.to(), answer(q, source)));
+      }
+      if (!network.isEmpty() && random.nextBoolean()) {
+        SentPage p = network.remove(random.nextInt(network.size()));
+        if (random.nextInt(10) > 0) {
+          configuration.receivePage(p.from(), p.page());
+        }
+      }
+    }
+    assertThat(configuration.inForce().version()).isPositive();
+  }
+
+  private static ConfigurationTable edited(ConfigurationTable before, Random random) {
+    var rows = new TreeMap<>(before.routes());
+    for (int i = 0; i <= random.nextInt(6); i++) {
+      Route r = List.copyOf(rows.values()).get(random.nextInt(rows.size()));
+      rows.put(r.key(), r.withVersion(before.version() + 1));
+    }
+    return new ConfigurationTable(before.version() + 1, rows, before.dataCentres());
+  }
 }
