Idempotency keys: repeat the release of a key that failed

A caller that was told 'not-run' could not retry with the same Idempotency-Key for 24 hours: the key stayed claimed, and each retry got 409 'unknown'. The release, and the record of a response's status, were sent to the platform once; one timeout or closed connection lost them.

Both are now repeated up to 8 times within half a minute. Repeating is safe: an update reads the row first and changes it only while this holder has it.

--- a/storage/src/main/java/dev/cactusstack/storage/HttpClaimStore.java
+++ b/storage/src/main/java/dev/cactusstack/storage/HttpClaimStore.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Claim store on the platform's HTTP interface, in the table {@code claims}.
@@ -24,6 +25,11 @@
   private static final int CONFLICT = 409;
   private static final long RETENTION_MS = Duration.ofHours(24).toMillis();
 
+  /** With the delays between them, the attempts to update a claim take half a minute. */
+  private static final int MAX_UPDATE_ATTEMPTS = 8;
+
+  private static final long FIRST_RETRY_DELAY_MS = 250;
+
   private final HttpClient httpClient;
   private final String baseUrl;
   private final Duration timeout;
@@ -73,27 +79,43 @@
 
   @Override
   public void markAnswered(ClaimKey key, String holder, int status) {
-    update(key, holder, claimValue(key, holder, "answered", status));
+    update(new Update(key, holder, claimValue(key, holder, "answered", status)), 1);
   }
 
   @Override
   public void release(ClaimKey key, String holder) {
-    update(key, holder, Json.newObject().put("expires_in_ms", 0));
+    update(new Update(key, holder, Json.newObject().put("expires_in_ms", 0)), 1);
   }
 
+  /** A change of a holder's claim. */
+  private record Update(ClaimKey key, String holder, ObjectNode value) {}
+
   /**
-   * Updates on a best-effort basis: if the update is lost, the key stays claimed, which is safe.
+   * Updates a claim with a bounded number of attempts: if all fail, the key stays claimed, which is
+   * safe.
    */
-  private void update(ClaimKey key, String holder, ObjectNode next) {
-    read(key)
-        .thenAccept(
-            row -> {
-              if (row.path("value").path("holder").asText().equals(holder)) {
-                commit(key, row.path("version").asLong(), next);
+  private void update(Update u, int attempt) {
+    read(u.key)
+        .thenCompose(row -> updateRow(u, row))
+        .whenComplete(
+            (done, t) -> {
+              if ((t != null || !done) && attempt < MAX_UPDATE_ATTEMPTS) {
+                long delayMs = FIRST_RETRY_DELAY_MS << (attempt - 1);
+                CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS)
+                    .execute(() -> update(u, attempt + 1));
               }
             });
   }
 
+  /** Returns whether the update is complete. */
+  private CompletableFuture<Boolean> updateRow(Update u, JsonNode row) {
+    if (!row.path("value").path("holder").asText().equals(u.holder)) {
+      return CompletableFuture.completedFuture(true);
+    }
+    return commit(u.key, row.path("version").asLong(), u.value)
+        .thenApply(response -> response.status() == OK);
+  }
+
   private static ObjectNode claimValue(ClaimKey key, String holder, String state, int status) {
     return Json.newObject()
         .put("holder", holder)
