Operators: a host that is considered dead but still listed counts as a host

Such a host may only be cut off, or stalled for two seconds on an overloaded machine: it serves its callers by the version before, for example in a data centre that was taken out, although the operators' page says that every host has applied the change.

A host considered dead now counts, with the status 'dead' and the version it last announced, as long as the platform lists it and the members remember it (60 s), unless it announced that it leaves. A listed host that was never heard of still does not count.

Evidence: LaggingHostTest failed before the change (after a host was stopped it was not shown for 60 s) and passes now.

This is the third way found by which the known-red test OperatorCommandTest#shouldSendNoRequestsToADataCentreWhenItIsEvacuated could send requests before all hosts had the table in force; the others are the version announced before the data path uses it and the accepted version that this host has not applied. The entry is removed; the test now also asserts that all three hosts report the accepted version, so that a failure would tell a wrong report from a request that went astray.

--- a/embedded/src/test/java/dev/cactusstack/embedded/OperatorCommandTest.java
+++ b/embedded/src/test/java/dev/cactusstack/embedded/OperatorCommandTest.java
@@ -120,10 +120,12 @@
   }
 
   @Test
-  @Tag("known-red")
   void shouldSendNoRequestsToADataCentreWhenItIsEvacuated() throws Exception {
-    assertThat(cluster.ctl(0, "data-centre", "out", "almaty-2").code()).isZero();
-    assertThat(cluster.ctl(0, "table", "watch", "--once").code()).isZero();
+    CommandResult out = cluster.ctl(0, "data-centre", "out", "almaty-2");
+    assertThat(out.code()).isZero();
+    CommandResult watch = cluster.ctl(0, "table", "watch", "--once");
+    assertThat(watch.code()).isZero();
+    assertThat(watch.text()).endsWith("version=" + version(out) + " in_force=3 hosts=3\n");
     long before = executedRequestsIn("almaty-2");
     for (int i = 0; i < 60; i++) {
       assertThat(cluster.call(i % 3, "search")).startsWith("HTTP/1.1 200");
--- a/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
+++ b/host/src/main/java/dev/cactusstack/host/control/MembershipController.java
@@ -20,12 +20,16 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
-/** Maintains the members of the group. Confined to the control loop, except {@link #members}. */
+/**
+ * Maintains the members of the group. Confined to the control loop, except {@link #members} and
+ * {@link #isListed}.
+ */
 public final class MembershipController {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final int MAX_ANNOUNCED_RATES = 16;
@@ -37,6 +41,7 @@
   private final Ticker ticker;
   private final List<Consumer<SortedMap<HostId, Member>>> listeners = new ArrayList<>();
   private volatile SortedMap<HostId, Member> published;
+  private volatile Set<Address> listedLinks = Set.of();
 
   /**
    * Creates a controller whose only member is its own host.
@@ -62,6 +67,16 @@
     return published;
   }
 
+  /**
+   * Returns whether the platform lists a host, although it may be considered dead. Thread-safe.
+   *
+   * @param link the host's link address
+   * @return true if the last host list that was read contains it
+   */
+  public boolean isListed(Address link) {
+    return listedLinks.contains(link);
+  }
+
   Member self() {
     return membership.self();
   }
@@ -85,6 +100,7 @@
   }
 
   void updateListedHosts(Collection<Address> links) {
+    listedLinks = Set.copyOf(links);
     membership.updateHostList(links);
   }
 
--- a/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
+++ b/host/src/main/java/dev/cactusstack/host/operators/OperatorsView.java
@@ -69,29 +69,35 @@
   }
 
   ObjectNode inForce() {
-    Collection<Member> live = liveMembers();
+    Collection<Member> hosts = hosts();
     long newestVersion =
-        live.stream()
+        hosts.stream()
             .mapToLong(m -> m.info().configVersion())
             .reduce(configuration.newestVersion(), Math::max);
-    long upToDate = live.stream().filter(m -> m.info().configVersion() >= newestVersion).count();
+    long upToDate = hosts.stream().filter(m -> m.info().configVersion() >= newestVersion).count();
     ObjectNode n =
         Json.newObject()
             .put("version", newestVersion)
             .put("in_force", upToDate)
-            .put("hosts_total", live.size())
+            .put("hosts_total", hosts.size())
             .put("table_service_reachable", configuration.isStoreReachable());
-    ArrayNode hosts = n.putArray("hosts");
-    live.forEach(m -> hosts.add(hostFields(m)));
+    ArrayNode fields = n.putArray("hosts");
+    hosts.forEach(m -> fields.add(hostFields(m)));
     return n;
   }
 
-  private Collection<Member> liveMembers() {
+  /** Returns the hosts that may serve callers. */
+  private Collection<Member> hosts() {
     return members.members().values().stream()
-        .filter(m -> m.status() != MemberStatus.DEAD)
+        .filter(m -> m.status() != MemberStatus.DEAD || mayBeCutOff(m))
         .toList();
   }
 
+  /** A host that is considered dead may only be cut off from this one, and serve all the same. */
+  private boolean mayBeCutOff(Member m) {
+    return !m.info().leaving() && members.isListed(m.info().link());
+  }
+
   private static ObjectNode hostFields(Member m) {
     return Json.newObject()
         .put("id", m.id().value())
