Upstream limits: read the header field in which an upstream names its limit

An upstream names the requests a second that it takes from all hosts together in Server-Limit. The adapter returns the figure as it stands, not a number if it is unreadable, and empty without the field; what follows from it is decided elsewhere.

--- a/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
@@ -84,6 +84,15 @@
    */
   OptionalDouble holdOffSeconds(HttpHeaders headers);
 
+  /**
+   * Returns the rate of requests that an upstream takes from all hosts together.
+   *
+   * @param headers the response's header fields
+   * @return the requests a second as the upstream states them, not a number if that is unreadable;
+   *     empty if the upstream does not say
+   */
+  OptionalDouble requestsPerSecond(HttpHeaders headers);
+
   /**
    * Returns the load that an upstream reports.
    *
