Link: limits of upstreams in placements, reports and a message of their own

A host sends on a placement only if it was counted, and a scheduler has to know limits before it chooses, so decisions, reports and the new message LimitsKnown carry what an upstream said with the ages of the statement. The version of the format rises to 5.

Evidence: LinkCodecTest, round trips with and without a limit, and invalid rates and ages rejected.

--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -4,6 +4,8 @@
 import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.limits.RequestLimit;
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
@@ -28,7 +30,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 4;
+  private static final int FORMAT_VERSION = 5;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
@@ -36,6 +38,9 @@
 
   private static final long MAX_AGE_UNITS = 1_000;
 
+  /** Longest age of a limit; keeps later sums of ages in range. */
+  private static final long MAX_LIMIT_AGE_MS = 86_400_000;
+
   private LinkCodec() {}
 
   /**
@@ -104,6 +109,9 @@
     } else if (message instanceof LinkMessage.ConfigurationQuery w) {
       out.writeUInt32NoTag(Type.CONFIGURATION_QUERY.ordinal());
       out.writeUInt64NoTag(w.knownRevision());
+    } else if (message instanceof LinkMessage.LimitsKnown known) {
+      out.writeUInt32NoTag(Type.LIMITS_KNOWN.ordinal());
+      writeLimits(out, known);
     }
   }
 
@@ -156,6 +164,12 @@
       LinkMessage read(CodedInputStream in) throws IOException {
         return new LinkMessage.ConfigurationQuery(in.readUInt64());
       }
+    },
+    LIMITS_KNOWN {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return readLimits(in);
+      }
     };
 
     abstract LinkMessage read(CodedInputStream in) throws IOException;
@@ -269,6 +283,7 @@
     if (placementDecision instanceof PlacementDecision.Placed placed) {
       out.writeUInt32NoTag(1);
       writeUpstream(out, placed.upstream());
+      writeOptionalLimit(out, placed.limit());
     } else if (placementDecision instanceof PlacementDecision.Rejected rejected) {
       out.writeUInt32NoTag(2);
       out.writeUInt64NoTag(rejected.retryAfterMs());
@@ -280,7 +295,7 @@
   private static PlacementDecision readDecision(CodedInputStream in) throws IOException {
     PlacementKey key = readKey(in);
     return switch (in.readUInt32()) {
-      case 1 -> new PlacementDecision.Placed(key, readUpstream(in));
+      case 1 -> new PlacementDecision.Placed(key, readUpstream(in), readOptionalLimit(in));
       case 2 -> new PlacementDecision.Rejected(key, in.readUInt64());
       default -> new PlacementDecision.Queued(key);
     };
@@ -320,6 +335,7 @@
       out.writeUInt64NoTag(report.durationMs());
       out.writeBoolNoTag(report.notice().leaving());
       out.writeUInt64NoTag(report.notice().holdOffMs());
+      writeOptionalLimit(out, report.notice().limit());
       out.writeBoolNoTag(report.load().isPresent());
       if (report.load().isPresent()) {
         ReportedLoad reportedLoad = report.load().get();
@@ -339,7 +355,7 @@
       String attemptedId = in.readString();
       AttemptOutcome attemptOutcome = AttemptOutcome.values()[readCount(in)];
       long tookMs = in.readUInt64();
-      var notice = new UpstreamNotice(in.readBool(), in.readUInt64());
+      var notice = new UpstreamNotice(in.readBool(), in.readUInt64(), readOptionalLimit(in));
       Optional<ReportedLoad> load =
           in.readBool()
               ? Optional.of(
@@ -351,6 +367,52 @@
     return new LinkMessage.AttemptsEnded(service, reports);
   }
 
+  private static void writeLimits(CodedOutputStream out, LinkMessage.LimitsKnown known)
+      throws IOException {
+    out.writeStringNoTag(known.service());
+    out.writeUInt32NoTag(known.limits().size());
+    for (UpstreamLimit limit : known.limits()) {
+      out.writeStringNoTag(limit.upstreamId());
+      out.writeUInt64NoTag(limit.startedAtMs());
+      writeLimit(out, limit.limit());
+    }
+  }
+
+  private static LinkMessage readLimits(CodedInputStream in) throws IOException {
+    String service = in.readString();
+    List<UpstreamLimit> limits = new ArrayList<>();
+    for (int n = readCount(in); n > 0; n--) {
+      limits.add(new UpstreamLimit(in.readString(), in.readUInt64(), readLimit(in)));
+    }
+    return new LinkMessage.LimitsKnown(service, limits);
+  }
+
+  private static void writeOptionalLimit(CodedOutputStream out, Optional<RequestLimit> limit)
+      throws IOException {
+    out.writeBoolNoTag(limit.isPresent());
+    if (limit.isPresent()) {
+      writeLimit(out, limit.get());
+    }
+  }
+
+  private static Optional<RequestLimit> readOptionalLimit(CodedInputStream in) throws IOException {
+    return in.readBool() ? Optional.of(readLimit(in)) : Optional.empty();
+  }
+
+  private static void writeLimit(CodedOutputStream out, RequestLimit limit) throws IOException {
+    out.writeDoubleNoTag(limit.requestsPerSecond());
+    out.writeUInt64NoTag(Math.min(MAX_LIMIT_AGE_MS, limit.sentAgeMs()));
+    out.writeUInt64NoTag(Math.min(MAX_LIMIT_AGE_MS, limit.receivedAgeMs()));
+  }
+
+  private static RequestLimit readLimit(CodedInputStream in) throws IOException {
+    var limit = new RequestLimit(in.readDouble(), in.readUInt64(), in.readUInt64());
+    if (limit.sentAgeMs() > MAX_LIMIT_AGE_MS) {
+      throw new IOException("age of a limit exceeds the maximum");
+    }
+    return limit;
+  }
+
   private static void writeKey(CodedOutputStream out, PlacementKey k) throws IOException {
     out.writeFixed32NoTag(k.hostHash());
     out.writeUInt64NoTag(k.sequenceNumber());
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.scheduling;
 
 import dev.cactusstack.decisions.gossip.HeartbeatState;
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
@@ -91,4 +92,18 @@
    * @param key the key of the placement request
    */
   record RequestDeclined(PlacementKey key) implements LinkMessage {}
+
+  /**
+   * Tells the receiver the limits of a service's upstreams before the sender submits requests of
+   * the service to it.
+   *
+   * @param service the service's name
+   * @param limits what the sender knows
+   */
+  record LimitsKnown(String service, List<UpstreamLimit> limits) implements LinkMessage {
+    /** Copies the components. */
+    public LimitsKnown {
+      limits = List.copyOf(limits);
+    }
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.limits.RequestLimit;
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
@@ -21,6 +24,7 @@
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -29,6 +33,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class LinkCodecTest {
   private static final Address ADDRESS = new Address("10.0.0.1", 7_200);
@@ -49,6 +55,9 @@
               new PlacementDecision.Placed(
                   KEY, new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0)),
               700),
+          new LinkMessage.DecisionMade(placed(new RequestLimit(1.5, 900, 40)), 700),
+          new LinkMessage.DecisionMade(
+              placed(new RequestLimit(RequestLimit.UNLIMITED, 900, 900)), 0),
           new LinkMessage.DecisionMade(new PlacementDecision.Rejected(KEY, 40), 1_600),
           new LinkMessage.DecisionMade(new PlacementDecision.Queued(KEY), 0),
           new LinkMessage.AttemptsEnded(
@@ -66,10 +75,23 @@
                       AttemptOutcome.UNUSED,
                       0,
                       Optional.empty(),
-                      new UpstreamNotice(true, 20_000)))),
+                      new UpstreamNotice(true, 20_000)),
+                  new AttemptReport(
+                      KEY,
+                      "u",
+                      AttemptOutcome.FAILED,
+                      20,
+                      Optional.empty(),
+                      new UpstreamNotice(false, 0, Optional.of(new RequestLimit(0, 30, 10)))))),
           new LinkMessage.RequestCancelled("s", KEY),
           new LinkMessage.RequestDeclined(KEY),
           new LinkMessage.ConfigurationQuery(77),
+          new LinkMessage.LimitsKnown(
+              "s",
+              List.of(
+                  new UpstreamLimit("u", 5, new RequestLimit(0.5, 3_000, 2_900)),
+                  new UpstreamLimit("v", 6, new RequestLimit(RequestLimit.UNLIMITED, 1, 0)))),
+          new LinkMessage.LimitsKnown("s", List.of()),
           new LinkMessage.ConfigurationUpdate(
               new ConfigurationSnapshot(
                   new SiteConfiguration(
@@ -91,6 +113,11 @@
                       Set.of("dc")),
                   79)));
 
+  private static PlacementDecision placed(RequestLimit limit) {
+    var upstream = new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0);
+    return new PlacementDecision.Placed(KEY, upstream, Optional.of(limit));
+  }
+
   @Test
   void shouldReturnTheSameMessageWhenItIsEncodedAndDecoded() throws IOException {
     for (LinkMessage message : MESSAGES) {
@@ -126,9 +153,34 @@
     }
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "-1, 20, 10",
+    "NaN, 20, 10",
+    "-Infinity, 20, 10",
+    "1.5, 10, 20",
+    "1.5, 20, -10",
+    "1.5, 9223372036854775807, 10"
+  })
+  void shouldRejectAMessageWhenItsLimitIsInvalid(double rate, long sentAgeMs, long receivedAgeMs)
+      throws IOException {
+    var bytes = new ByteArrayOutputStream();
+    CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+    out.write(LinkCodec.encode(new LinkMessage.LimitsKnown("s", List.of())), 0, 2);
+    out.writeStringNoTag("s");
+    out.writeUInt32NoTag(1);
+    out.writeStringNoTag("u");
+    out.writeUInt64NoTag(5);
+    out.writeDoubleNoTag(rate);
+    out.writeUInt64NoTag(sentAgeMs);
+    out.writeUInt64NoTag(receivedAgeMs);
+    out.flush();
+    assertThatThrownBy(() -> LinkCodec.decode(bytes.toByteArray())).isInstanceOf(IOException.class);
+  }
+
   @Test
   void shouldRejectAMessageWhenItsVersionDiffers() {
-    byte[] bytes = LinkCodec.encode(MESSAGES.get(7));
+    byte[] bytes = LinkCodec.encode(new LinkMessage.ConfigurationQuery(77));
     bytes[0]++;
     assertThatThrownBy(() -> LinkCodec.decode(bytes)).isInstanceOf(IOException.class);
   }
