Upstream limits: a host that was told sends only on a placement that was counted

An upstream that names a limit of requests a second got what each host sent on its own, and more with every host that was told.

Every response of an upstream now says what its limit is, or that there is none; the times of the request and the response bound when it was written, so that a late response does not undo a later one. An unreadable value leaves in force what was known, and is logged. Before each send (first attempt, retry, hedge) the host checks that the placement was counted against the limit, whoever placed it; otherwise the placement goes back with what the upstream said, without using the retry budget. Probes are not counted and so are never sent to an upstream with a limit.

A log line and a counter show limits that are named, changed or withdrawn.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -232,6 +232,10 @@
         "cactusstack_upstream_hold_offs",
         "Times that an upstream asked this host to send nothing for a while",
         notices::holdOffCount);
+    registry.registerCounter(
+        "cactusstack_upstream_limits",
+        "Times that an upstream named a limit of requests from all hosts together",
+        notices::limitCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
     registry.registerCounter(
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -152,7 +152,7 @@
       report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
       return;
     }
-    UpstreamNotices.Permission permission = notices().permission(p.upstream(), now());
+    UpstreamNotices.Permission permission = notices().permission(p, now());
     if (permission != UpstreamNotices.Permission.ALLOWED) {
       decline(p, permission);
       return;
@@ -169,9 +169,10 @@
   }
 
   /**
-   * Returns a placement on an upstream that wants no request from this host, and requests another
-   * one. The report tells the scheduler what the upstream said. A scheduler that does not learn it
-   * gets the upstream excluded, so that the request does not go back and forth.
+   * Returns a placement on an upstream that wants no request from this host, or one that was not
+   * counted against the upstream's limit, and requests another one. The report tells the scheduler
+   * what the upstream said. A scheduler that does not learn it gets the upstream excluded, so that
+   * the request does not go back and forth.
    */
   private void decline(PlacementDecision.Placed p, UpstreamNotices.Permission permission) {
     event("upstream_declined")
@@ -270,7 +271,7 @@
             : Optional.empty();
     AttemptOutcome end = context.attemptClassifier().classify(result);
     if (end != AttemptOutcome.WRONG_INSTANCE && result instanceof ExchangeResult.Response r) {
-      context.noticeReader().read(a.upstream, r);
+      context.noticeReader().read(a.upstream, r, a.startedAtMs);
     }
     report(a.key, a.upstream, end, now() - a.startedAtMs, load);
     figures().recordAttemptOutcome(end.label());
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/NoticeReader.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/NoticeReader.java
@@ -1,11 +1,13 @@
 package dev.cactusstack.gateway.scheduling;
 
+import dev.cactusstack.decisions.limits.RequestLimit;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.gateway.net.ExchangeResult;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 
@@ -48,12 +50,20 @@
    *
    * @param upstream the upstream, which must be the one that responded
    * @param response its response
+   * @param sentAtMs when the request was sent, on the same clock
    * @return what it says about itself
    */
-  public UpstreamNotice read(UpstreamRegistration upstream, ExchangeResult.Response response) {
+  public UpstreamNotice read(
+      UpstreamRegistration upstream, ExchangeResult.Response response, long sentAtMs) {
+    long now = clock.getAsLong();
     var notice =
-        new UpstreamNotice(upstreamHeaders.isLeaving(response.headers()), holdOffMs(response));
-    if (notices.record(upstream, notice, clock.getAsLong())) {
+        new UpstreamNotice(
+            upstreamHeaders.isLeaving(response.headers()),
+            holdOffMs(response),
+            limit(upstream, response, now - sentAtMs));
+    double limitBefore = knownLimit(upstream, now);
+    boolean changed = notices.record(upstream, notice, now);
+    if (changed && (notice.leaving() || notice.holdOffMs() > 0)) {
       log.event("upstream_notice")
           .with("upstream", upstream.id())
           .with("says", notice.leaving() ? "leaving" : "hold-off")
@@ -61,9 +71,51 @@
           .with("status", response.status())
           .write();
     }
+    double limit = knownLimit(upstream, now);
+    if (limit != limitBefore) {
+      log.event("upstream_notice")
+          .with("upstream", upstream.id())
+          .with("says", "limit")
+          .with("per_second", perSecond(limit))
+          .with("before", perSecond(limitBefore))
+          .with("status", response.status())
+          .write();
+    }
     return notice;
   }
 
+  private double knownLimit(UpstreamRegistration upstream, long nowMs) {
+    return notices
+        .current(upstream, nowMs)
+        .limit()
+        .map(RequestLimit::requestsPerSecond)
+        .orElse(RequestLimit.UNLIMITED);
+  }
+
+  private static String perSecond(double limit) {
+    return limit == RequestLimit.UNLIMITED ? "none" : String.valueOf(limit);
+  }
+
+  /** Returns what a response says of the limit; without the field it says that there is none. */
+  private Optional<RequestLimit> limit(
+      UpstreamRegistration upstream, ExchangeResult.Response response, long sentAgeMs) {
+    OptionalDouble rate = upstreamHeaders.requestsPerSecond(response.headers());
+    if (rate.isEmpty()) {
+      return Optional.of(new RequestLimit(RequestLimit.UNLIMITED, sentAgeMs, 0));
+    }
+    OptionalDouble usedRate = RequestLimit.toUsableRate(rate.getAsDouble());
+    if (!RequestLimit.isValidRate(rate.getAsDouble())) {
+      log.event("server_limit_invalid")
+          .with("upstream", upstream.id())
+          .with("per_second", String.valueOf(rate.getAsDouble()))
+          .with("used", usedRate.isPresent() ? perSecond(usedRate.getAsDouble()) : "nothing")
+          .write();
+    }
+    return usedRate.isPresent()
+        ? Optional.of(new RequestLimit(usedRate.getAsDouble(), sentAgeMs, 0))
+        : Optional.empty();
+  }
+
   private long holdOffMs(ExchangeResult.Response response) {
     OptionalDouble seconds =
         response.status() == SERVICE_UNAVAILABLE
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/UpstreamProber.java
@@ -47,7 +47,8 @@
   }
 
   /**
-   * Probes an upstream, unless it wants no requests from this host.
+   * Probes an upstream, unless it wants no requests from this host or limits them: a probe counts
+   * as a request, but is not counted by any scheduler.
    *
    * @param onLoad receives the reported load
    * @param onNotice receives what the upstream says about itself
@@ -80,7 +81,7 @@
         PROBE_TIMEOUT_MS,
         reply -> {
           if (reply instanceof ExchangeResult.Response response) {
-            onNotice.accept(noticeReader.read(upstream, response));
+            onNotice.accept(noticeReader.read(upstream, response, nowMs));
             upstreamHeaders.reportedLoad(response.headers()).ifPresent(onLoad);
           }
         });
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.limits.RequestLimit;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
@@ -128,12 +129,18 @@
 
   /** Forwards a request that another host places on the upstream. */
   private String forwardWithPlacement() {
+    return forwardWithPlacement(Optional.empty());
+  }
+
+  /** Forwards a request that another host places, saying what it knows of the upstream's limit. */
+  private String forwardWithPlacement(Optional<RequestLimit> limit) {
     channel.freezeTime();
     register("self", new Address("127.0.0.1", 8), 600);
     register("scheduler", SCHEDULER, 6_000);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
     new ForwardedRequest(context, request, "id", ROUTE, responses::add).start();
-    decide(new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM));
+    decide(
+        new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, limit));
     log.flush();
     return output.toString(StandardCharsets.UTF_8);
   }
@@ -174,4 +181,62 @@
         .singleElement()
         .satisfies(response -> assertThat(response.headers().get("Retry-After")).isEqualTo("0.7"));
   }
+
+  /** Records a response that the upstream wrote between 3 s and 2.9 s ago. */
+  private void recordLimit(double requestsPerSecond) {
+    noticeReader
+        .notices()
+        .record(
+            UPSTREAM,
+            new UpstreamNotice(
+                false, 0, Optional.of(new RequestLimit(requestsPerSecond, 3_000, 2_900))),
+            0);
+  }
+
+  @Test
+  void shouldSendARequestWhenItsPlacementWasCountedAgainstTheLimit() {
+    recordLimit(1.5);
+    assertThat(forwardWithPlacement(Optional.of(new RequestLimit(1.5, 5_000, 4_900))))
+        .contains("event=sent");
+  }
+
+  @Test
+  void shouldNotSendARequestWhenItsPlacementWasNotCountedAgainstTheLimit() {
+    recordLimit(1.5);
+    assertThat(forwardWithPlacement())
+        .contains("event=upstream_declined", "why=limited")
+        .doesNotContain("event=sent");
+  }
+
+  @Test
+  void shouldNotSendARequestWhenTheSchedulerKnowsOnlyOfAnEarlierWithdrawal() {
+    recordLimit(1.5);
+    assertThat(
+            forwardWithPlacement(
+                Optional.of(new RequestLimit(RequestLimit.UNLIMITED, 5_000, 4_900))))
+        .contains("event=upstream_declined", "why=limited")
+        .doesNotContain("event=sent");
+  }
+
+  @Test
+  void shouldSendARequestWhenTheSchedulerKnowsThatTheLimitWasWithdrawnLater() {
+    recordLimit(1.5);
+    assertThat(
+            forwardWithPlacement(Optional.of(new RequestLimit(RequestLimit.UNLIMITED, 900, 800))))
+        .contains("event=sent");
+  }
+
+  /** A limit of another start of the upstream is not a limit of this one. */
+  @Test
+  void shouldSendARequestWhenAnEarlierStartOfTheUpstreamNamedTheLimit() {
+    var earlier =
+        new UpstreamRegistration("u", "s", new Address("127.0.0.1", 1), "dc", 4, false, 0, 0, 1);
+    noticeReader
+        .notices()
+        .record(
+            earlier,
+            new UpstreamNotice(false, 0, Optional.of(new RequestLimit(1, 3_000, 2_900))),
+            0);
+    assertThat(forwardWithPlacement()).contains("event=sent");
+  }
 }
