Placement: the reports of one service are not sent again as those of another

A host keeps its last two reports to each scheduler and sends them again with the next one. They were kept by the scheduler's address alone, so a host that schedules two services got reports of one of them under the name of the other: a lost report was then not made up for, and what an upstream had said reached the wrong scheduler. They are now kept for each service.

The test needs to see what is sent, so the client sends through an interface.

--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Link.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/Link.java
@@ -20,7 +20,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Exchanges datagrams with other hosts. Confined to the event loop. */
-public final class Link {
+public final class Link implements MessageSender {
   private static final int MAX_DATAGRAM_BYTES = 32_768;
 
   private final EventLoop loop;
@@ -59,12 +59,7 @@
     return bound;
   }
 
-  /**
-   * Sends a message, without any guarantee of delivery.
-   *
-   * @param message the message
-   * @param destination the address of the receiving host
-   */
+  @Override
   public void send(LinkMessage message, Address destination) {
     Channel openChannel = channel;
     if (openChannel != null && openChannel.isActive()) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -10,9 +10,6 @@
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,12 +33,11 @@
   private static final long RESEND_AFTER_MS = 35;
   private static final long RESPONSE_TIMEOUT_MS = 50;
   private static final int MAX_REMOTE_ATTEMPTS = 2;
-  private static final int REPEATED_REPORTS = 2;
 
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
-  private final Link link;
+  private final MessageSender link;
   private final PeerTable peers;
   private final LocalSchedulers schedulers;
   private final SchedulerSelector selector;
@@ -49,7 +45,7 @@
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<Long, Address> schedulerByRequest = new HashMap<>();
   private final Map<Integer, Address> requesters = new HashMap<>();
-  private final Map<Address, Deque<AttemptReport>> recentReports = new HashMap<>();
+  private final RecentReports recentReports = new RecentReports();
   private long lastSequenceNumber;
 
   /**
@@ -69,7 +65,7 @@
       EventLoop loop,
       LongSupplier clock,
       EventLog log,
-      Link link,
+      MessageSender link,
       PeerTable peers,
       LocalSchedulers schedulers,
       String hostName,
@@ -119,15 +115,7 @@
       schedulers.report(service, attempt);
       return;
     }
-    Deque<AttemptReport> previousReports =
-        recentReports.computeIfAbsent(placingHost, a -> new ArrayDeque<>());
-    List<AttemptReport> sentReports = new ArrayList<>();
-    sentReports.add(attempt);
-    sentReports.addAll(previousReports);
-    previousReports.addFirst(attempt);
-    while (previousReports.size() > REPEATED_REPORTS) {
-      previousReports.removeLast();
-    }
+    List<AttemptReport> sentReports = recentReports.add(placingHost, service, attempt);
     link.send(new LinkMessage.AttemptsEnded(service, sentReports), placingHost);
   }
 
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/RecentReports.java
@@ -0,0 +1,38 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.placing.AttemptReport;
+import dev.cactusstack.model.Address;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps the last reports to each scheduler to send them again, because datagrams may be lost.
+ *
+ * <p>Invariant: a report is sent again only to the scheduler of its own service. Confined to the
+ * event loop.
+ */
+final class RecentReports {
+  private static final int REPEATED_REPORTS = 2;
+
+  private final Map<Receiver, Deque<AttemptReport>> reports = new HashMap<>();
+
+  /** Adds a report and returns it with the earlier ones that are to be sent again. */
+  List<AttemptReport> add(Address scheduler, String service, AttemptReport report) {
+    Deque<AttemptReport> previous =
+        reports.computeIfAbsent(new Receiver(scheduler, service), r -> new ArrayDeque<>());
+    List<AttemptReport> sent = new ArrayList<>();
+    sent.add(report);
+    sent.addAll(previous);
+    previous.addFirst(report);
+    while (previous.size() > REPEATED_REPORTS) {
+      previous.removeLast();
+    }
+    return sent;
+  }
+
+  private record Receiver(Address scheduler, String service) {}
+}
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -1,19 +1,25 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
-import dev.cactusstack.gateway.scheduling.Link;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
 import java.io.ByteArrayOutputStream;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 
@@ -22,6 +28,7 @@
   final VirtualTimeLoop time = new VirtualTimeLoop();
   final FakeStore store = new FakeStore();
   final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
+  final List<SentMessage> sent = new ArrayList<>();
   final PlacementClient placement;
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
@@ -50,7 +57,7 @@
             time.loop(),
             time::nowMs,
             log,
-            new Link(time.loop(), log),
+            (message, destination) -> sent.add(new SentMessage(message, destination)),
             peers,
             schedulers,
             "self",
@@ -67,6 +74,27 @@
             });
   }
 
+  /** Registers a host that is alive, with its link at an address. */
+  void addHost(String name, Address address, int milliCores) {
+    peers.recordStart(
+        new HostRegistration(name, "dc", address, address, milliCores, 1), time.nowMs());
+    peers.mergeHeartbeats(
+        List.of(new HeartbeatState(PeerTable.hash(name), 1, 1, false, StoreContact.UNKNOWN, true)),
+        time.nowMs());
+  }
+
+  /** Returns the messages of one type that were sent. */
+  <T extends LinkMessage> List<T> sent(Class<T> type) {
+    return sent.stream()
+        .map(SentMessage::message)
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+
+  /** A message to another host. */
+  record SentMessage(LinkMessage message, Address destination) {}
+
   String logText() {
     log.flush();
     return output.toString(StandardCharsets.UTF_8);
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RepeatedReportsTest.java
@@ -0,0 +1,81 @@
+package dev.cactusstack.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.decisions.placing.AttemptOutcome;
+import dev.cactusstack.decisions.placing.AttemptReport;
+import dev.cactusstack.decisions.placing.PlacementDecision;
+import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.gateway.scheduling.LinkMessage;
+import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The reports that a host sends to a scheduler again, because datagrams may be lost. */
+class RepeatedReportsTest {
+  private static final Address SCHEDULER = new Address("127.0.0.1", 9);
+
+  private final PlacementFixture host = new PlacementFixture();
+
+  @BeforeEach
+  void addHosts() {
+    host.addHost("self", new Address("127.0.0.1", 8), 600);
+    host.addHost("scheduler", SCHEDULER, 6_000);
+  }
+
+  private PlacementDecision.Placed requestPlacement(String service) {
+    var request =
+        new PlacementRequest(
+            host.placement.nextKey(), "dc", "r", 1, 300, 300, 1_000, 0, false, Set.of());
+    host.placement.requestPlacement(service, request, decision -> {});
+    var upstream =
+        new UpstreamRegistration(
+            "u", service, new Address("127.0.0.1", 80), "dc", 4, false, 0, 1, 1);
+    var placed = new PlacementDecision.Placed(request.key(), upstream);
+    receive(placed);
+    return placed;
+  }
+
+  private void receive(PlacementDecision decision) {
+    host.placement.onMessage(new LinkMessage.DecisionMade(decision, 0), SCHEDULER);
+  }
+
+  private AttemptReport report(String service, UpstreamNotice notice) {
+    PlacementDecision.Placed placed = requestPlacement(service);
+    var report =
+        new AttemptReport(placed.key(), "u", AttemptOutcome.ANSWERED, 5, Optional.empty(), notice);
+    host.placement.report(service, report);
+    return report;
+  }
+
+  private LinkMessage.AttemptsEnded lastSent() {
+    List<LinkMessage.AttemptsEnded> sent = host.sent(LinkMessage.AttemptsEnded.class);
+    return sent.get(sent.size() - 1);
+  }
+
+  /** Guards against reports that reach the scheduler of a service that they don't belong to. */
+  @Test
+  void shouldNotSendReportsOfAnotherServiceAgain() {
+    AttemptReport first = report("s", UpstreamNotice.NONE);
+    AttemptReport other = report("t", UpstreamNotice.NONE);
+    assertThat(lastSent().reports()).containsExactly(other);
+    AttemptReport second = report("s", UpstreamNotice.NONE);
+    assertThat(lastSent().reports()).containsExactly(second, first);
+  }
+
+  @Test
+  void shouldReturnAPlacementThatWasNotUsed() {
+    PlacementDecision.Placed placed = requestPlacement("s");
+    host.placement.cancelPlacement(placed.key());
+    var unknown = new PlacementDecision.Placed(host.placement.nextKey(), placed.upstream());
+    receive(unknown);
+    assertThat(lastSent().reports())
+        .singleElement()
+        .satisfies(report -> assertThat(report.outcome()).isEqualTo(AttemptOutcome.UNUSED));
+  }
+}
