Placement: a report that is sent again says what is still true of its upstream

A report was sent up to three times as it was written first, so its hold-off started anew at the scheduler each time, and an old limit of an upstream would look like a new one. Kept reports now carry the time at which they were sent, and are aged when they are sent again.

Evidence: RepeatedReportsTest.shouldSendAReportAgainWithTheHoldOffThatRemains and .shouldSendAReportAgainWithTheAgeOfTheLimit failed before.

--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -115,7 +115,8 @@
       schedulers.report(service, attempt);
       return;
     }
-    List<AttemptReport> sentReports = recentReports.add(placingHost, service, attempt);
+    List<AttemptReport> sentReports =
+        recentReports.add(placingHost, service, attempt, clock.getAsLong());
     link.send(new LinkMessage.AttemptsEnded(service, sentReports), placingHost);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/RecentReports.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/RecentReports.java
@@ -12,27 +12,29 @@
 /**
  * Keeps the last reports to each scheduler to send them again, because datagrams may be lost.
  *
- * <p>Invariant: a report is sent again only to the scheduler of its own service. Confined to the
- * event loop.
+ * <p>Invariants: a report is sent again only to the scheduler of its own service, and says what is
+ * true of its upstream at that time. Confined to the event loop.
  */
 final class RecentReports {
   private static final int REPEATED_REPORTS = 2;
 
-  private final Map<Receiver, Deque<AttemptReport>> reports = new HashMap<>();
+  private final Map<Receiver, Deque<KeptReport>> reports = new HashMap<>();
 
   /** Adds a report and returns it with the earlier ones that are to be sent again. */
-  List<AttemptReport> add(Address scheduler, String service, AttemptReport report) {
-    Deque<AttemptReport> previous =
+  List<AttemptReport> add(Address scheduler, String service, AttemptReport report, long nowMs) {
+    Deque<KeptReport> previous =
         reports.computeIfAbsent(new Receiver(scheduler, service), r -> new ArrayDeque<>());
     List<AttemptReport> sent = new ArrayList<>();
     sent.add(report);
-    sent.addAll(previous);
-    previous.addFirst(report);
+    previous.forEach(kept -> sent.add(kept.report.agedBy(nowMs - kept.sentAtMs)));
+    previous.addFirst(new KeptReport(report, nowMs));
     while (previous.size() > REPEATED_REPORTS) {
       previous.removeLast();
     }
     return sent;
   }
 
+  private record KeptReport(AttemptReport report, long sentAtMs) {}
+
   private record Receiver(Address scheduler, String service) {}
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RepeatedReportsTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RepeatedReportsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.limits.RequestLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
@@ -58,6 +59,28 @@
     return sent.get(sent.size() - 1);
   }
 
+  /** Guards against a hold-off that starts anew each time the report of it is sent again. */
+  @Test
+  void shouldSendAReportAgainWithTheHoldOffThatRemains() {
+    AttemptReport first = report("s", new UpstreamNotice(false, 1_000));
+    host.time.run(400);
+    AttemptReport second = report("s", UpstreamNotice.NONE);
+    assertThat(lastSent().reports()).containsExactly(second, first.agedBy(400));
+    assertThat(lastSent().reports().get(1).notice().holdOffMs()).isEqualTo(600);
+  }
+
+  /** Guards against an old limit that looks like a new one when its report is sent again. */
+  @Test
+  void shouldSendAReportAgainWithTheAgeOfTheLimit() {
+    report("s", new UpstreamNotice(false, 0, Optional.of(new RequestLimit(1.5, 50, 0))));
+    host.time.run(400);
+    report("s", UpstreamNotice.NONE);
+    host.time.run(100);
+    report("s", UpstreamNotice.NONE);
+    assertThat(lastSent().reports().get(2).notice().limit())
+        .contains(new RequestLimit(1.5, 550, 500));
+  }
+
   /** Guards against reports that reach the scheduler of a service that they don't belong to. */
   @Test
   void shouldNotSendReportsOfAnotherServiceAgain() {
