--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RepeatedReportsTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RepeatedReportsTest.java
@@ -91,6 +91,17 @@
     assertThat(lastSent().reports()).containsExactly(second, first);
   }
 
+  /** Guards against a sent request that a late copy of its decision takes off the count. */
+  @Test
+  void shouldNotReturnAPlacementThatWasUsedWhenItsDecisionArrivesAgain() {
+    PlacementDecision.Placed placed = requestPlacement("s");
+    host.placement.report(
+        "s", new AttemptReport(placed.key(), "u", AttemptOutcome.ANSWERED, 5, Optional.empty()));
+    host.sent.clear();
+    receive(placed);
+    assertThat(host.sent).isEmpty();
+  }
+
   @Test
   void shouldReturnAPlacementThatWasNotUsed() {
     PlacementDecision.Placed placed = requestPlacement("s");
