Gossip: count of the hosts that may still be running

A host that is cut off from most of the others must not behave as if they were gone. The table counts the hosts that were alive, or recorded as started, within a period; hosts that announced that they leave do not count.

Evidence: PeerTableTest, with hosts that were read from the store and never heard of, dead ones and leaving ones.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -285,15 +285,33 @@
   public List<HostRegistration> usableHosts(long nowMs) {
     List<HostRegistration> result = new ArrayList<>();
     for (Peer p : peers.values()) {
-      boolean leaving =
-          p.heartbeat.hostHash() == selfHash ? ownState.leaving() : p.heartbeat.leaving();
-      if (!leaving && (p.heartbeat.hostHash() == selfHash || isAlive(p, nowMs))) {
+      if (!isLeaving(p) && (p.heartbeat.hostHash() == selfHash || isAlive(p, nowMs))) {
         result.add(p.registration);
       }
     }
     return result;
   }
 
+  /**
+   * Counts the hosts that may still be running although this host does not hear of them.
+   *
+   * @param withinMs length of the period before now, in milliseconds
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return number of hosts, this one among them, that were alive in the period or whose start was
+   *     recorded in it; hosts that are leaving do not count
+   */
+  public int countUsableWithin(long withinMs, long nowMs) {
+    return (int)
+        peers.values().stream()
+            .filter(p -> !isLeaving(p))
+            .filter(
+                p ->
+                    p.heartbeat.hostHash() == selfHash
+                        || isAlive(p, nowMs - withinMs)
+                        || nowMs - p.startRecordedMs < withinMs)
+            .count();
+  }
+
   /**
    * Returns the hosts that can schedule: those that may reach the store. During an outage of the
    * store these are the hosts that have read the upstreams since their start, because the others
@@ -313,6 +331,10 @@
     return eligible.isEmpty() ? usable : eligible;
   }
 
+  private boolean isLeaving(Peer p) {
+    return p.heartbeat.hostHash() == selfHash ? ownState.leaving() : p.heartbeat.leaving();
+  }
+
   private HeartbeatState stateOf(HostRegistration host) {
     int nameHash = hash(host.name());
     Peer p = peers.get(nameHash);
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -293,4 +293,46 @@
     assertThat(table.isStoreOutage(0)).isFalse();
     assertThat(schedulers(table)).containsExactly("idle");
   }
+
+  private static PeerTable tableOf(String... names) {
+    var table = new PeerTable("self", DEAD_AFTER_MS, new SplittableRandom(1));
+    table.recordStart(host("self", 1), 0);
+    for (String name : names) {
+      table.recordStart(host(name, 1), 0);
+    }
+    return table;
+  }
+
+  private static HeartbeatState heartbeat(String name, long counter, boolean leaving) {
+    return new HeartbeatState(
+        PeerTable.hash(name), 1, counter, leaving, StoreContact.CONFIRMED, true);
+  }
+
+  /** A host reads the others from the store when it starts, before it hears of them. */
+  @Test
+  void shouldCountHostsThatWereRecordedLatelyAndNotHeardOf() {
+    PeerTable table = tableOf("a", "b");
+    assertThat(table.usableHosts(0)).hasSize(1);
+    assertThat(table.countUsableWithin(60_000, 59_999)).isEqualTo(3);
+    assertThat(table.countUsableWithin(60_000, 60_000)).isEqualTo(1);
+  }
+
+  @Test
+  void shouldCountADeadHostForThePeriodAfterItWasAlive() {
+    PeerTable table = tableOf("a");
+    table.mergeHeartbeats(List.of(heartbeat("a", 1, false)), 100_000);
+    long deadAtMs = 100_000 + DEAD_AFTER_MS;
+    assertThat(table.usableHosts(deadAtMs)).hasSize(1);
+    assertThat(table.countUsableWithin(60_000, deadAtMs + 59_999)).isEqualTo(2);
+    assertThat(table.countUsableWithin(60_000, deadAtMs + 60_000)).isEqualTo(1);
+  }
+
+  @Test
+  void shouldNotCountHostsThatLeave() {
+    PeerTable table = tableOf("a", "b");
+    table.mergeHeartbeats(List.of(heartbeat("a", 1, true)), 100);
+    assertThat(table.countUsableWithin(60_000, 200)).isEqualTo(2);
+    table.markLeaving();
+    assertThat(table.countUsableWithin(60_000, 200)).isEqualTo(1);
+  }
 }
