Upstream limits: a host's share of the limits of a service that it schedules

Several hosts may schedule a service at the same time while they disagree on who is alive. The schedulers learn their share before every decision, and once a second while their service is in use, so that a pause of the requests is not taken for an interruption.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
+import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
@@ -175,6 +176,7 @@
             schedulerSettings,
             upstreams,
             prober,
+            new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts),
             () -> peers.isStoreConfirmed(clock.getAsLong()),
             random,
             PeerTable.hash(settings.host()));
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -116,6 +116,15 @@
     loop.schedule(configuration::updateReaderRole, STARTUP_SETTLE_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Checks whether this host has registered and has read the other hosts.
+   *
+   * @return false until both have succeeded once
+   */
+  public boolean knowsHosts() {
+    return registered;
+  }
+
   /**
    * Returns whether this host watches the configuration in the store. It does not right after its
    * start, when it has read the configuration but does not know the other hosts yet.
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -1,9 +1,11 @@
 package dev.cactusstack.gateway.scheduling;
 
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.Scheduler;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.registrations.RegistrationAge;
@@ -29,6 +31,8 @@
   private static final long QUEUE_TICK_INTERVAL_MS = 20;
   private static final long PROBE_INTERVAL_MS = 50;
   private static final long PROBE_AFTER_REQUEST_MS = 1_000;
+  private static final long SHARE_UPDATE_INTERVAL_MS = 1_000;
+  private static final long SHARE_UPDATE_AFTER_REQUEST_MS = 60_000;
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -36,6 +40,7 @@
   private final SchedulerSettings settings;
   private final UpstreamsController upstreams;
   private final UpstreamProber prober;
+  private final LimitShares limitShares;
   private final BooleanSupplier storeConfirmed;
   private final RandomGenerator random;
   private final int selfHash;
@@ -44,6 +49,7 @@
   private Consumer<PlacementDecision> decisionListener = v -> {};
   private boolean tickScheduled;
   private boolean probeScheduled;
+  private boolean shareUpdateScheduled;
 
   /**
    * Creates an instance without schedulers; they are created on demand.
@@ -54,6 +60,7 @@
    * @param settings settings of the schedulers
    * @param upstreams tracks the upstreams
    * @param prober probes the load of upstreams
+   * @param limitShares computes this host's share of the upstreams' limits
    * @param storeConfirmed whether a host has lately read the store
    * @param random source of randomness for placements
    * @param selfHash hash of this host's name
@@ -65,6 +72,7 @@
       SchedulerSettings settings,
       UpstreamsController upstreams,
       UpstreamProber prober,
+      LimitShares limitShares,
       BooleanSupplier storeConfirmed,
       RandomGenerator random,
       int selfHash) {
@@ -74,6 +82,7 @@
     this.settings = settings;
     this.upstreams = upstreams;
     this.prober = prober;
+    this.limitShares = limitShares;
     this.storeConfirmed = storeConfirmed;
     this.random = random;
     this.selfHash = selfHash;
@@ -128,18 +137,32 @@
   private void decide(String service, PlacementRequest request) {
     long now = clock.getAsLong();
     lastRequestAtMs.put(service, now);
-    publish(service, schedulerFor(service).submit(request, now));
+    publish(service, withCurrentShare(service, schedulerFor(service), now).submit(request, now));
     scheduleTick();
     scheduleProbe();
+    scheduleShareUpdate();
   }
 
   void report(String service, AttemptReport attempt) {
     Scheduler scheduler = schedulersByService.get(service);
     if (scheduler != null) {
-      publish(service, scheduler.report(attempt, clock.getAsLong()));
+      long now = clock.getAsLong();
+      publish(service, withCurrentShare(service, scheduler, now).report(attempt, now));
     }
   }
 
+  /** Records what another host, or this one, knows of the limits of a service's upstreams. */
+  void recordLimits(String service, List<UpstreamLimit> limits) {
+    long now = clock.getAsLong();
+    Scheduler scheduler = schedulerFor(service);
+    limits.forEach(limit -> scheduler.recordLimit(limit, now));
+  }
+
+  private Scheduler withCurrentShare(String service, Scheduler scheduler, long nowMs) {
+    scheduler.updateLimitShare(limitShares.share(service, nowMs), nowMs);
+    return scheduler;
+  }
+
   void cancelQueued(String service, PlacementKey key) {
     Scheduler scheduler = schedulersByService.get(service);
     if (scheduler != null) {
@@ -198,11 +221,9 @@
   private void probe() {
     probeScheduled = false;
     long now = clock.getAsLong();
-    lastRequestAtMs
-        .values()
-        .removeIf(requestedAtMs -> now - requestedAtMs > PROBE_AFTER_REQUEST_MS);
-    for (String service : lastRequestAtMs.keySet()) {
-      Scheduler scheduler = schedulerFor(service);
+    List<String> requested = servicesRequestedWithin(PROBE_AFTER_REQUEST_MS, now);
+    for (String service : requested) {
+      Scheduler scheduler = withCurrentShare(service, schedulerFor(service), now);
       String path = upstreams.serviceSettings(service).healthPath();
       for (UpstreamRegistration target :
           path.isEmpty() ? List.<UpstreamRegistration>of() : scheduler.selectProbeTargets(now)) {
@@ -210,17 +231,50 @@
             target,
             path,
             now,
-            load ->
-                publish(
-                    service, scheduler.recordProbeResponse(target.id(), load, clock.getAsLong())),
+            load -> recordProbeResponse(service, target.id(), load),
             notice -> scheduler.recordNotice(target, selfHash, notice, clock.getAsLong()));
       }
     }
-    if (!lastRequestAtMs.isEmpty()) {
+    if (!requested.isEmpty()) {
       scheduleProbe();
     }
   }
 
+  private void recordProbeResponse(String service, String upstreamId, ReportedLoad load) {
+    long now = clock.getAsLong();
+    Scheduler scheduler = withCurrentShare(service, schedulerFor(service), now);
+    publish(service, scheduler.recordProbeResponse(upstreamId, load, now));
+  }
+
+  private List<String> servicesRequestedWithin(long withinMs, long nowMs) {
+    return lastRequestAtMs.entrySet().stream()
+        .filter(entry -> nowMs - entry.getValue() <= withinMs)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  private void scheduleShareUpdate() {
+    if (!shareUpdateScheduled) {
+      shareUpdateScheduled = true;
+      loop.schedule(this::updateShares, SHARE_UPDATE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Looks at the shares also while there are no requests, because a gap resets them. */
+  private void updateShares() {
+    shareUpdateScheduled = false;
+    long now = clock.getAsLong();
+    lastRequestAtMs
+        .values()
+        .removeIf(requestedAtMs -> now - requestedAtMs > SHARE_UPDATE_AFTER_REQUEST_MS);
+    lastRequestAtMs
+        .keySet()
+        .forEach(service -> withCurrentShare(service, schedulerFor(service), now));
+    if (!lastRequestAtMs.isEmpty()) {
+      scheduleShareUpdate();
+    }
+  }
+
   private void scheduleTick() {
     if (!tickScheduled
         && schedulersByService.values().stream().anyMatch(Scheduler::hasQueuedRequests)) {
@@ -234,7 +288,7 @@
     long now = clock.getAsLong();
     for (Map.Entry<String, Scheduler> entry : List.copyOf(schedulersByService.entrySet())) {
       if (entry.getValue().hasQueuedRequests()) {
-        publish(entry.getKey(), entry.getValue().tick(now));
+        publish(entry.getKey(), withCurrentShare(entry.getKey(), entry.getValue(), now).tick(now));
       }
     }
     scheduleTick();
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -15,6 +15,7 @@
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
+import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
@@ -91,6 +92,7 @@
                   Optional::empty,
                   () -> false),
               new UpstreamProber(client, headers, noticeReader),
+              new LimitShares(peers, PeerTable.hash("self"), () -> true),
               () -> false,
               new Random(1),
               PeerTable.hash("self")),
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -7,6 +7,7 @@
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
@@ -49,6 +50,7 @@
             upstreams,
             new UpstreamProber(
                 client, unusedHeaders(), new NoticeReader(time::nowMs, log, unusedHeaders())),
+            new LimitShares(peers, PeerTable.hash("self"), () -> true),
             () -> peers.isStoreConfirmed(time.nowMs()),
             new Random(1),
             PeerTable.hash("self"));
