Operators: explain prints what an upstream had said about itself

A request whose placement was turned down, or that was rejected while an upstream had a limit, could not be explained from its own lines: what the upstream had said was written earlier. The last such line of each host involved is now printed with the other known states.

Evidence: ExplainCommandTest.shouldPrintWhatAnUpstreamHadSaidWhenAPlacementOnItWasTurnedDown failed before.

--- a/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
@@ -72,7 +72,9 @@
         LogLine.parse(line, host, lineCount).ifPresent(requestEvents::add);
       } else if (line.contains(" event=decided ")) {
         decisions.add(new UnparsedLine(line, host, lineCount));
-      } else if (line.contains(" event=configuration ") || line.contains(" event=upstream ")) {
+      } else if (line.contains(" event=configuration ")
+          || line.contains(" event=upstream ")
+          || line.contains(" event=upstream_notice ")) {
         stateChanges.add(new UnparsedLine(line, host, lineCount));
       }
     }
@@ -84,8 +86,10 @@
     Set<LogLine> relevant = new HashSet<>(requestEvents);
     Set<String> upstreams = new HashSet<>();
     for (LogLine l : requestEvents) {
-      if (l.is("sent")) {
+      if (l.is("sent") || l.is("upstream_declined")) {
         upstreams.add(l.field("upstream"));
+      }
+      if (l.is("sent")) {
         String placementKey = " asker=" + l.host().hashCode() + " ask=" + l.field("ask") + ' ';
         // A restarted host numbers its placement requests from the start, so numbers can repeat.
         decisions.stream()
@@ -103,7 +107,10 @@
         .toList();
   }
 
-  /** Finds the last configuration and upstream states logged by each host before the request. */
+  /**
+   * Finds the last configuration and upstream states logged by each host before the request, and
+   * what upstreams last said about themselves to each host.
+   */
   private Map<String, LogLine> lastKnownStates(
       Set<LogLine> relevant, Set<String> upstreams, Instant first) {
     Set<String> hosts = new HashSet<>();
@@ -111,13 +118,21 @@
     Map<String, LogLine> latest = new HashMap<>();
     for (UnparsedLine k : stateChanges) {
       k.parse()
-          .filter(l -> l.is("configuration") || upstreams.contains(l.field("id")))
+          .filter(l -> l.is("configuration") || upstreams.contains(upstream(l)))
           .filter(l -> hosts.contains(l.host()) && !l.time().isAfter(first))
-          .ifPresent(l -> latest.put(l.host() + l.field("event") + l.field("id"), l));
+          .ifPresent(l -> latest.put(stateKey(l), l));
     }
     return latest;
   }
 
+  private static String upstream(LogLine l) {
+    return l.field(l.is("upstream_notice") ? "upstream" : "id");
+  }
+
+  private static String stateKey(LogLine l) {
+    return l.host() + l.field("event") + l.field("says") + upstream(l);
+  }
+
   /** A line that may be relevant. */
   private record UnparsedLine(String line, String host, long sequence) {
     Optional<LogLine> parse() {
--- a/ctl/src/test/java/dev/cactusstack/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/dev/cactusstack/ctl/ExplainCommandTest.java
@@ -55,6 +55,25 @@
     assertThat(end.output().get(4)).contains("why=late");
   }
 
+  @Test
+  void shouldPrintWhatAnUpstreamHadSaidWhenAPlacementOnItWasTurnedDown() throws IOException {
+    String text =
+        """
+        time=2026-04-01T10:00:00.000Z event=started host=entry-1 callers=10.0.0.1:80
+        time=2026-04-01T10:00:01.000Z event=upstream_notice upstream=u1 says=limit per_second=3.0 before=none status=200
+        time=2026-04-01T10:00:02.000Z event=upstream_notice upstream=u1 says=limit per_second=1.5 before=3.0 status=200
+        time=2026-04-01T10:00:02.500Z event=upstream_notice upstream=u2 says=limit per_second=9.0 before=none status=200
+        time=2026-04-01T10:00:05.001Z event=upstream_declined id=r1 route=a upstream=u1 why=limited
+        time=2026-04-01T10:00:06.000Z event=refused id=r1 route=a why=no-room attempts=0
+        """;
+    assertThat(explain("r1", text).output())
+        .hasSize(3)
+        .first()
+        .asString()
+        .startsWith("believed host=entry-1")
+        .contains("event=upstream_notice upstream=u1 says=limit per_second=1.5");
+  }
+
   @Test
   void shouldReadTheHostFromTheWordBeforeTheTimeWhenLogsWereCollected() throws IOException {
     String line = "time=2026-04-01T10:00:05.002Z event=refused id=r1 route=a why=no-room";
