--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/NoticeReader.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/NoticeReader.java
@@ -61,29 +61,47 @@
             upstreamHeaders.isLeaving(response.headers()),
             holdOffMs(response),
             limit(upstream, response, now - sentAtMs));
+    UpstreamNotices.Permission permissionBefore = notices.permission(upstream, now);
     double limitBefore = knownLimit(upstream, now);
-    boolean changed = notices.record(upstream, notice, now);
-    if (changed && (notice.leaving() || notice.holdOffMs() > 0)) {
-      log.event("upstream_notice")
-          .with("upstream", upstream.id())
-          .with("says", notice.leaving() ? "leaving" : "hold-off")
-          .with("hold_off_ms", notice.holdOffMs())
-          .with("status", response.status())
-          .write();
+    notices.record(upstream, notice, now);
+    UpstreamNotices.Permission permission = notices.permission(upstream, now);
+    boolean refusesThisHost =
+        permission == UpstreamNotices.Permission.LEAVING
+            || permission == UpstreamNotices.Permission.HELD_OFF;
+    if (refusesThisHost && permission != permissionBefore) {
+      logRefusal(upstream, notice, response);
     }
     double limit = knownLimit(upstream, now);
     if (limit != limitBefore) {
-      log.event("upstream_notice")
-          .with("upstream", upstream.id())
-          .with("says", "limit")
-          .with("per_second", perSecond(limit))
-          .with("before", perSecond(limitBefore))
-          .with("status", response.status())
-          .write();
+      logLimit(upstream, limitBefore, limit, response);
     }
     return notice;
   }
 
+  private void logRefusal(
+      UpstreamRegistration upstream, UpstreamNotice notice, ExchangeResult.Response response) {
+    log.event("upstream_notice")
+        .with("upstream", upstream.id())
+        .with("says", notice.leaving() ? "leaving" : "hold-off")
+        .with("hold_off_ms", notice.holdOffMs())
+        .with("status", response.status())
+        .write();
+  }
+
+  private void logLimit(
+      UpstreamRegistration upstream,
+      double before,
+      double limit,
+      ExchangeResult.Response response) {
+    log.event("upstream_notice")
+        .with("upstream", upstream.id())
+        .with("says", "limit")
+        .with("per_second", perSecond(limit))
+        .with("before", perSecond(before))
+        .with("status", response.status())
+        .write();
+  }
+
   private double knownLimit(UpstreamRegistration upstream, long nowMs) {
     return notices
         .current(upstream, nowMs)
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/NoticeReaderTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/NoticeReaderTest.java
@@ -24,6 +24,7 @@
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
   private OptionalDouble saidPerSecond = OptionalDouble.empty();
+  private boolean saysLeaving;
   private long nowMs = 10_000;
   private final NoticeReader reader =
       new NoticeReader(
@@ -35,7 +36,7 @@
                   new Class<?>[] {UpstreamHeaders.class},
                   (proxy, method, args) ->
                       switch (method.getName()) {
-                        case "isLeaving" -> false;
+                        case "isLeaving" -> saysLeaving;
                         case "requestsPerSecond" -> saidPerSecond;
                         default -> throw new AssertionError(method.getName());
                       }));
@@ -115,6 +116,16 @@
     assertThat(logLines().get(2)).contains("per_second=none before=0.5");
   }
 
+  @Test
+  void shouldLogOnceThatAnUpstreamLeavesWhenItsLimitChangesToo() {
+    saysLeaving = true;
+    read(1.5);
+    nowMs += 100;
+    read(0.5);
+    assertThat(logLines()).filteredOn(line -> line.contains("says=leaving")).hasSize(1);
+    assertThat(logLines()).filteredOn(line -> line.contains("says=limit")).hasSize(2);
+  }
+
   /** Guards against a slow response that was written before a limit was named. */
   @Test
   void shouldKeepTheLimitWhenALateResponseNamesNone() {
