Upstream limits: a scheduler knows them before it chooses

A scheduler that takes over, or that has restarted, knew no limit until the first reports, so it placed requests that the hosts which had been told turned down, and that other hosts sent. Each host now tells a scheduler what it knows of the limits of the service before its first request to it: another host in a message, this host's own scheduler directly. A scheduler that has not read the upstreams yet records the limits once it has, before it decides on the requests that came after them. A placement that is returned carries what the upstream said, too.

--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/UpstreamLimit.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/UpstreamLimit.java
@@ -15,4 +15,14 @@
     Objects.requireNonNull(upstreamId, "upstreamId is null");
     Objects.requireNonNull(limit, "limit is null");
   }
+
+  /**
+   * Returns the same limit at a later time.
+   *
+   * @param elapsedMs time that has passed, in milliseconds
+   * @return the limit with an older statement
+   */
+  public UpstreamLimit agedBy(long elapsedMs) {
+    return new UpstreamLimit(upstreamId, startedAtMs, limit.agedBy(elapsedMs));
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -188,6 +188,7 @@
             link,
             peers,
             schedulers,
+            noticeReader.notices(),
             settings.host(),
             random.nextLong(MAX_INITIAL_SEQUENCE_NUMBER));
     var retryBudget =
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -151,11 +151,18 @@
     }
   }
 
-  /** Records what another host, or this one, knows of the limits of a service's upstreams. */
+  /**
+   * Records what another host, or this one, knows of the limits of a service's upstreams, as soon
+   * as the upstreams are known and before any request that is submitted later.
+   */
   void recordLimits(String service, List<UpstreamLimit> limits) {
-    long now = clock.getAsLong();
-    Scheduler scheduler = schedulerFor(service);
-    limits.forEach(limit -> scheduler.recordLimit(limit, now));
+    long receivedAtMs = clock.getAsLong();
+    upstreams.runWhenFresh(
+        () -> {
+          long now = clock.getAsLong();
+          Scheduler scheduler = schedulerFor(service);
+          limits.forEach(known -> scheduler.recordLimit(known.agedBy(now - receivedAtMs), now));
+        });
   }
 
   private Scheduler withCurrentShare(String service, Scheduler scheduler, long nowMs) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -1,14 +1,17 @@
 package dev.cactusstack.gateway.scheduling;
 
 import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.decisions.registrations.RegistrationAge;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.HostRegistration;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -44,6 +47,7 @@
   private final MessageSender link;
   private final PeerTable peers;
   private final LocalSchedulers schedulers;
+  private final UpstreamNotices notices;
   private final SchedulerSelector selector;
   private final int selfHash;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
@@ -56,6 +60,7 @@
         }
       };
   private final Map<Integer, Address> requesters = new HashMap<>();
+  private final Map<String, Optional<HostRegistration>> lastSchedulers = new HashMap<>();
   private final RecentReports recentReports = new RecentReports();
   private long lastSequenceNumber;
 
@@ -68,6 +73,7 @@
    * @param link sends messages to other hosts
    * @param peers tracks which hosts are alive
    * @param schedulers this host's own schedulers
+   * @param notices what upstreams have said about themselves to this host
    * @param hostName this host's name
    * @param initialSequenceNumber the number before the first request, different each time the host
    *     starts
@@ -79,6 +85,7 @@
       MessageSender link,
       PeerTable peers,
       LocalSchedulers schedulers,
+      UpstreamNotices notices,
       String hostName,
       long initialSequenceNumber) {
     this.loop = loop;
@@ -87,6 +94,7 @@
     this.link = link;
     this.peers = peers;
     this.schedulers = schedulers;
+    this.notices = notices;
     this.selfHash = PeerTable.hash(hostName);
     this.selector = new SchedulerSelector(clock, peers, selfHash);
     this.lastSequenceNumber = initialSequenceNumber;
@@ -175,6 +183,8 @@
       ended.reports().forEach(attempt -> schedulers.report(ended.service(), attempt));
     } else if (message instanceof LinkMessage.RequestCancelled cancelled) {
       schedulers.cancelQueued(cancelled.service(), cancelled.key());
+    } else if (message instanceof LinkMessage.LimitsKnown known) {
+      schedulers.recordLimits(known.service(), known.limits());
     }
   }
 
@@ -183,20 +193,41 @@
   }
 
   private void askScheduler(PendingRequest pendingRequest) {
-    Optional<Address> remoteScheduler =
+    Optional<HostRegistration> scheduler =
         pendingRequest.attempts < MAX_REMOTE_ATTEMPTS
             ? selector.remoteScheduler(pendingRequest.service)
             : Optional.empty();
     pendingRequest.attempts++;
     pendingRequests.put(pendingRequest.request.key().sequenceNumber(), pendingRequest);
-    if (remoteScheduler.isEmpty()) {
+    tellLimits(pendingRequest.service, scheduler);
+    if (scheduler.isEmpty()) {
       pendingRequest.scheduler = null;
       schedulers.requestDecision(pendingRequest.service, pendingRequest.request);
       return;
     }
-    pendingRequest.scheduler = remoteScheduler.get();
+    Address address = scheduler.get().linkAddress();
+    pendingRequest.scheduler = address;
     pendingRequest.resent = false;
-    sendRequest(pendingRequest, remoteScheduler.get(), RESEND_AFTER_MS);
+    sendRequest(pendingRequest, address, RESEND_AFTER_MS);
+  }
+
+  /**
+   * Tells a scheduler what this host knows of the limits of a service's upstreams, before the first
+   * request after requests to another scheduler, or to an earlier start of the same one.
+   *
+   * @param scheduler the scheduler; empty if it is this host's own
+   */
+  private void tellLimits(String service, Optional<HostRegistration> scheduler) {
+    if (scheduler.equals(lastSchedulers.put(service, scheduler))) {
+      return;
+    }
+    List<UpstreamLimit> limits = notices.limits(service, clock.getAsLong());
+    if (limits.isEmpty()) {
+      return;
+    }
+    scheduler.ifPresentOrElse(
+        host -> link.send(new LinkMessage.LimitsKnown(service, limits), host.linkAddress()),
+        () -> schedulers.recordLimits(service, limits));
   }
 
   private void sendRequest(PendingRequest pendingRequest, Address remoteScheduler, long timeoutMs) {
@@ -322,7 +353,8 @@
             placementDecision.upstream().id(),
             AttemptOutcome.UNUSED,
             0,
-            Optional.empty());
+            Optional.empty(),
+            notices.current(placementDecision.upstream(), clock.getAsLong()));
     String service =
         pendingRequest != null ? pendingRequest.service : placementDecision.upstream().service();
     link.send(new LinkMessage.AttemptsEnded(service, List.of(unused)), from);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
@@ -42,13 +42,11 @@
   }
 
   /** Returns the host that schedules a service, or empty if it is this host. */
-  Optional<Address> remoteScheduler(String service) {
+  Optional<HostRegistration> remoteScheduler(String service) {
     long now = clock.getAsLong();
     for (HostRegistration host : rankSchedulers(service, now)) {
       if (!isSuspected(host.linkAddress(), now)) {
-        return PeerTable.hash(host.name()) == selfHash
-            ? Optional.empty()
-            : Optional.of(host.linkAddress());
+        return PeerTable.hash(host.name()) == selfHash ? Optional.empty() : Optional.of(host);
       }
     }
     return Optional.empty();
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -96,6 +96,7 @@
               () -> false,
               new Random(1),
               PeerTable.hash("self")),
+          noticeReader.notices(),
           "self",
           0);
   private final ForwardingContext context =
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/PlacementFixture.java
@@ -4,6 +4,7 @@
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
+import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -34,7 +35,11 @@
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
 
+  final UpstreamNotices notices;
+
   PlacementFixture() {
+    var noticeReader = new NoticeReader(time::nowMs, log, unusedHeaders());
+    notices = noticeReader.notices();
     var upstreams =
         new UpstreamsController(
             time.loop(), time::nowMs, time::nowMs, log, store, Optional::empty, () -> false);
@@ -48,8 +53,7 @@
             log,
             new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
             upstreams,
-            new UpstreamProber(
-                client, unusedHeaders(), new NoticeReader(time::nowMs, log, unusedHeaders())),
+            new UpstreamProber(client, unusedHeaders(), noticeReader),
             new LimitShares(peers, PeerTable.hash("self"), () -> true),
             () -> peers.isStoreConfirmed(time.nowMs()),
             new Random(1),
@@ -62,6 +66,7 @@
             (message, destination) -> sent.add(new SentMessage(message, destination)),
             peers,
             schedulers,
+            notices,
             "self",
             0);
   }
