--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -237,7 +237,7 @@
         notices::holdOffCount);
     registry.registerCounter(
         "cactusstack_upstream_limits",
-        "Times that an upstream named a limit of requests from all hosts together",
+        "Times that this host learned that an upstream limits the requests of all hosts",
         notices::limitCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -14,7 +14,6 @@
 import dev.cactusstack.model.site.HostRegistration;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,9 +37,6 @@
   private static final long RESPONSE_TIMEOUT_MS = 50;
   private static final int MAX_REMOTE_ATTEMPTS = 2;
 
-  /** Number of ended requests whose decision may still arrive again. */
-  private static final int MAX_USED_PLACEMENTS = 1_000;
-
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
@@ -52,13 +48,6 @@
   private final int selfHash;
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<Long, Address> schedulerByRequest = new HashMap<>();
-  private final Map<Long, Address> usedPlacements =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Address> eldest) {
-          return size() > MAX_USED_PLACEMENTS;
-        }
-      };
   private final Map<Integer, Address> requesters = new HashMap<>();
   private final Map<String, Optional<HostRegistration>> lastSchedulers = new HashMap<>();
   private final RecentReports recentReports = new RecentReports();
@@ -134,7 +123,6 @@
       schedulers.report(service, attempt);
       return;
     }
-    usedPlacements.put(attempt.key().sequenceNumber(), placingHost);
     List<AttemptReport> sentReports =
         recentReports.add(placingHost, service, attempt, clock.getAsLong());
     link.send(new LinkMessage.AttemptsEnded(service, sentReports), placingHost);
@@ -342,14 +330,14 @@
       @Nullable PendingRequest pendingRequest,
       PlacementDecision.Placed placementDecision,
       Address from) {
-    long sequenceNumber = placementDecision.key().sequenceNumber();
-    if (from.equals(schedulerByRequest.get(sequenceNumber))
-        || from.equals(usedPlacements.get(sequenceNumber))) {
+    PlacementKey key = placementDecision.key();
+    boolean inUse = from.equals(schedulerByRequest.get(key.sequenceNumber()));
+    if (inUse || recentReports.contains(from, key)) {
       return;
     }
     var unused =
         new AttemptReport(
-            placementDecision.key(),
+            key,
             placementDecision.upstream().id(),
             AttemptOutcome.UNUSED,
             0,
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/LimitsKnownTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/LimitsKnownTest.java
@@ -141,6 +141,19 @@
     assertThat(placedWithLimit()).isPresent();
   }
 
+  /** The two hosts before this one in the ranking may both be scheduling. */
+  @Test
+  void shouldRejectWhenThisHostDecidesAloneAndHasNoShareOfTheLimit() {
+    host.addHost("scheduler", SCHEDULER, 6_000);
+    host.addHost("other", OTHER_SCHEDULER, 6_000);
+    recordLimit(1_000);
+    requestPlacement();
+    host.time.run(200);
+    readUpstreams();
+    host.time.run(300);
+    assertThat(decisions).singleElement().isInstanceOf(PlacementDecision.Rejected.class);
+  }
+
   @Test
   void shouldPlaceByTheLimitsThatAnotherHostTells() {
     var limit = new UpstreamLimit("u", 1, new RequestLimit(1_000, 150, 100));
