--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -4,8 +4,6 @@
 import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.StoreContact;
-import dev.cactusstack.decisions.limits.RequestLimit;
-import dev.cactusstack.decisions.limits.UpstreamLimit;
 import dev.cactusstack.decisions.placing.AttemptOutcome;
 import dev.cactusstack.decisions.placing.AttemptReport;
 import dev.cactusstack.decisions.placing.PlacementDecision;
@@ -38,9 +36,6 @@
 
   private static final long MAX_AGE_UNITS = 1_000;
 
-  /** Longest age of a limit; keeps later sums of ages in range. */
-  private static final long MAX_LIMIT_AGE_MS = 86_400_000;
-
   private LinkCodec() {}
 
   /**
@@ -111,7 +106,7 @@
       out.writeUInt64NoTag(w.knownRevision());
     } else if (message instanceof LinkMessage.LimitsKnown known) {
       out.writeUInt32NoTag(Type.LIMITS_KNOWN.ordinal());
-      writeLimits(out, known);
+      LimitCodec.write(out, known);
     }
   }
 
@@ -168,7 +163,7 @@
     LIMITS_KNOWN {
       @Override
       LinkMessage read(CodedInputStream in) throws IOException {
-        return readLimits(in);
+        return LimitCodec.read(in);
       }
     };
 
@@ -283,7 +278,7 @@
     if (placementDecision instanceof PlacementDecision.Placed placed) {
       out.writeUInt32NoTag(1);
       writeUpstream(out, placed.upstream());
-      writeOptionalLimit(out, placed.limit());
+      LimitCodec.writeOptional(out, placed.limit());
     } else if (placementDecision instanceof PlacementDecision.Rejected rejected) {
       out.writeUInt32NoTag(2);
       out.writeUInt64NoTag(rejected.retryAfterMs());
@@ -295,7 +290,7 @@
   private static PlacementDecision readDecision(CodedInputStream in) throws IOException {
     PlacementKey key = readKey(in);
     return switch (in.readUInt32()) {
-      case 1 -> new PlacementDecision.Placed(key, readUpstream(in), readOptionalLimit(in));
+      case 1 -> new PlacementDecision.Placed(key, readUpstream(in), LimitCodec.readOptional(in));
       case 2 -> new PlacementDecision.Rejected(key, in.readUInt64());
       default -> new PlacementDecision.Queued(key);
     };
@@ -335,7 +330,7 @@
       out.writeUInt64NoTag(report.durationMs());
       out.writeBoolNoTag(report.notice().leaving());
       out.writeUInt64NoTag(report.notice().holdOffMs());
-      writeOptionalLimit(out, report.notice().limit());
+      LimitCodec.writeOptional(out, report.notice().limit());
       out.writeBoolNoTag(report.load().isPresent());
       if (report.load().isPresent()) {
         ReportedLoad reportedLoad = report.load().get();
@@ -355,7 +350,7 @@
       String attemptedId = in.readString();
       AttemptOutcome attemptOutcome = AttemptOutcome.values()[readCount(in)];
       long tookMs = in.readUInt64();
-      var notice = new UpstreamNotice(in.readBool(), in.readUInt64(), readOptionalLimit(in));
+      var notice = new UpstreamNotice(in.readBool(), in.readUInt64(), LimitCodec.readOptional(in));
       Optional<ReportedLoad> load =
           in.readBool()
               ? Optional.of(
@@ -367,52 +362,6 @@
     return new LinkMessage.AttemptsEnded(service, reports);
   }
 
-  private static void writeLimits(CodedOutputStream out, LinkMessage.LimitsKnown known)
-      throws IOException {
-    out.writeStringNoTag(known.service());
-    out.writeUInt32NoTag(known.limits().size());
-    for (UpstreamLimit limit : known.limits()) {
-      out.writeStringNoTag(limit.upstreamId());
-      out.writeUInt64NoTag(limit.startedAtMs());
-      writeLimit(out, limit.limit());
-    }
-  }
-
-  private static LinkMessage readLimits(CodedInputStream in) throws IOException {
-    String service = in.readString();
-    List<UpstreamLimit> limits = new ArrayList<>();
-    for (int n = readCount(in); n > 0; n--) {
-      limits.add(new UpstreamLimit(in.readString(), in.readUInt64(), readLimit(in)));
-    }
-    return new LinkMessage.LimitsKnown(service, limits);
-  }
-
-  private static void writeOptionalLimit(CodedOutputStream out, Optional<RequestLimit> limit)
-      throws IOException {
-    out.writeBoolNoTag(limit.isPresent());
-    if (limit.isPresent()) {
-      writeLimit(out, limit.get());
-    }
-  }
-
-  private static Optional<RequestLimit> readOptionalLimit(CodedInputStream in) throws IOException {
-    return in.readBool() ? Optional.of(readLimit(in)) : Optional.empty();
-  }
-
-  private static void writeLimit(CodedOutputStream out, RequestLimit limit) throws IOException {
-    out.writeDoubleNoTag(limit.requestsPerSecond());
-    out.writeUInt64NoTag(Math.min(MAX_LIMIT_AGE_MS, limit.sentAgeMs()));
-    out.writeUInt64NoTag(Math.min(MAX_LIMIT_AGE_MS, limit.receivedAgeMs()));
-  }
-
-  private static RequestLimit readLimit(CodedInputStream in) throws IOException {
-    var limit = new RequestLimit(in.readDouble(), in.readUInt64(), in.readUInt64());
-    if (limit.sentAgeMs() > MAX_LIMIT_AGE_MS) {
-      throw new IOException("age of a limit exceeds the maximum");
-    }
-    return limit;
-  }
-
   private static void writeKey(CodedOutputStream out, PlacementKey k) throws IOException {
     out.writeFixed32NoTag(k.hostHash());
     out.writeUInt64NoTag(k.sequenceNumber());
