--- a/host/src/test/java/dev/cactusstack/host/control/ConfigurationControllerTest.java
+++ b/host/src/test/java/dev/cactusstack/host/control/ConfigurationControllerTest.java
@@ -25,12 +25,16 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the controller in virtual time, with a table service that does not respond. */
 class ConfigurationControllerTest {
+  private static final Logger LOGGER = Logger.getLogger(ConfigurationController.class.getName());
   private static final int ROWS = 12;
   private static final int ROWS_PER_PAGE = 3;
   private static final long PULL_TIMEOUT_MS = 200;
@@ -45,6 +49,11 @@
       new ConfigurationController(
           new SilentStore(), members, this::recordQuery, Runnable::run, this::nowNanos, 1_000);
 
+  @BeforeAll
+  static void omitEvents() {
+    LOGGER.setLevel(Level.WARNING);
+  }
+
   /** A query that this host sent. */
   private record Query(Address to, ChangeCursor cursor) {}
 
