Gossip: one ranking of the configuration readers in a round, in plain loops

In each gossip round a host ranked the hosts of its data centre to see whether it is a reader, and then the hosts of all data centres to see whether a reader is silent. Both used streams with a comparator that computed a hash at each comparison, and streams load classes at a start, when a small host is busy.

ConfigurationReaders.rank scores each host once and keeps the highest-ranked of each data centre; isReader and readers use it, and HostsController asks one ranking both questions. The readers are the same: the tests are unchanged, and a new one compares 200 sets of hosts with RendezvousHash.ranked; it passes on the code before as well. Cost was not measured.

--- a/decisions/src/main/java/dev/cactusstack/decisions/routing/RendezvousHash.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/routing/RendezvousHash.java
@@ -52,8 +52,16 @@
         .thenComparing(Object::toString);
   }
 
-  /** FNV-1a over both texts, followed by the MurmurHash3 finalizer for an even distribution. */
-  private static long score(String key, String candidate) {
+  /**
+   * Returns the score of a candidate for a key: FNV-1a over both texts, followed by the MurmurHash3
+   * finalizer for an even distribution. The highest-ranked candidate has the highest score; of
+   * equal scores, that of the later text ranks higher.
+   *
+   * @param key the key to assign
+   * @param candidate the text that identifies the candidate
+   * @return the score
+   */
+  public static long score(String key, String candidate) {
     long hash = FNV_OFFSET;
     for (byte b : (key + '\n' + candidate).getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ (b & 0xff)) * FNV_PRIME;
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/ConfigurationReadersTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/ConfigurationReadersTest.java
@@ -2,10 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.routing.RendezvousHash;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationReadersTest {
@@ -61,4 +65,24 @@
     all.remove(reader);
     assertThat(POLICY.isReader(reader, all)).isTrue();
   }
+
+  @Test
+  void shouldChooseTheHighestRankedOfEachDataCentreWhenTheSetOfHostsChanges() {
+    var random = new Random(5);
+    List<HostRegistration> all = hosts("a", 12);
+    all.addAll(hosts("b", 5));
+    all.addAll(hosts("c", 2));
+    for (int i = 0; i < 200; i++) {
+      List<HostRegistration> candidates =
+          all.stream().filter(host -> random.nextInt(4) > 0).toList();
+      for (HostRegistration host : all) {
+        Set<String> names = new TreeSet<>(Set.of(host.name()));
+        candidates.stream()
+            .filter(candidate -> candidate.dataCentre().equals(host.dataCentre()))
+            .forEach(candidate -> names.add(candidate.name()));
+        assertThat(POLICY.isReader(host, candidates))
+            .isEqualTo(RendezvousHash.ranked("configuration", names, 3).contains(host.name()));
+      }
+    }
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -128,7 +128,11 @@
     if (now - startedAtMs < STARTUP_SETTLE_MS) {
       return false;
     }
-    return !registered || CONFIGURATION_READERS.isReader(self, peers.reachingStore(now));
+    return !registered || rankReaders(now).isReader(self);
+  }
+
+  private ConfigurationReaders.Ranking rankReaders(long now) {
+    return CONFIGURATION_READERS.rank(peers.reachingStore(now));
   }
 
   /**
@@ -234,12 +238,14 @@
   /** Reads the configuration if no host that watches the store has been heard of lately. */
   private void checkReaders() {
     long now = clock.getAsLong();
-    boolean relies = now - startedAtMs >= STARTUP_SETTLE_MS && !isConfigurationReader();
-    if (!relies || readerCheckPending) {
+    if (readerCheckPending || !registered || now - startedAtMs < STARTUP_SETTLE_MS) {
+      return;
+    }
+    ConfigurationReaders.Ranking ranking = rankReaders(now);
+    if (ranking.isReader(self)) {
       return;
     }
-    OptionalLong ageMs =
-        peers.youngestHeartbeatAgeMs(CONFIGURATION_READERS.readers(peers.reachingStore(now)), now);
+    OptionalLong ageMs = peers.youngestHeartbeatAgeMs(ranking.readers(), now);
     long waitMs = readerSilence.untilReadMs(ageMs, now);
     if (waitMs == 0) {
       log.event("configuration_readers_silent").with("age_ms", ageMs.orElse(-1)).write();
