--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
@@ -25,7 +25,6 @@
   private static final double MAX_BURST = 2;
   private static final double REDUCED_BURST = 1;
   private static final double MS_PER_SECOND = 1_000;
-
   private static final double ONE_REQUEST = 1;
 
   private final TokenBucket bucket;
