Upstream connections: an id that no request of the connection had does not make a response another's

Cause: every response whose first id field is not the current request's was skipped as certainly another's. A failure with a spoiled or empty id, or with two ids, was skipped, and a success that followed with the right id was delivered.

Change: a response is skipped only if it has exactly one id, of one of the last 32 requests of its connection; the matchers are told what the connection has carried (CarriedRequests). Any other id ends the exchange as unattributed.

--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestResponseMatcher.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/RequestResponseMatcher.java
@@ -1,10 +1,12 @@
 package dev.cactusstack.gateway.callers;
 
+import dev.cactusstack.gateway.net.CarriedRequests;
 import dev.cactusstack.gateway.net.ResponseMatcher;
 import dev.cactusstack.gateway.net.ResponseOwner;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -17,17 +19,28 @@
 record RequestResponseMatcher(String id, String upstreamId, UpstreamHeaders wire)
     implements ResponseMatcher {
   @Override
-  public ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest) {
-    Optional<String> responseId = wire.requestId(headers);
-    if (responseId.isPresent()) {
-      return responseId.get().equals(id) ? ResponseOwner.CURRENT : ResponseOwner.ANOTHER;
+  public ResponseOwner ownerOf(int status, HttpHeaders headers, CarriedRequests carried) {
+    List<String> ids = wire.respondedIds(headers);
+    if (!ids.isEmpty()) {
+      return ownerByIds(ids, carried);
     }
     if (belongsToProbe(status, headers)) {
       return ResponseOwner.ANOTHER;
     }
     // The status alone does not prove that the request was not executed.
     boolean rejected = wire.reportsNotRun(0, headers);
-    return onlyRequest && rejected ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
+    return carried.isOnlyOne() && rejected
+        ? ResponseOwner.CURRENT_BY_ELIMINATION
+        : ResponseOwner.UNKNOWN;
+  }
+
+  /** An id that no request of the connection had may be the spoiled one of the current request. */
+  private ResponseOwner ownerByIds(List<String> ids, CarriedRequests carried) {
+    if (ids.stream().allMatch(id::equals)) {
+      return ResponseOwner.CURRENT;
+    }
+    boolean another = ids.size() == 1 && carried.include(ids.get(0));
+    return another ? ResponseOwner.ANOTHER : ResponseOwner.UNKNOWN;
   }
 
   @Override
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseMatcher.java
@@ -7,7 +7,7 @@
 @FunctionalInterface
 public interface ResponseMatcher {
   /** Takes every response for that to the current request. */
-  ResponseMatcher ANY = (status, headers, onlyRequest) -> ResponseOwner.CURRENT;
+  ResponseMatcher ANY = (status, headers, carried) -> ResponseOwner.CURRENT;
 
   /**
    * Determines the owner of a response that arrives while the request of this matcher is the
@@ -15,10 +15,10 @@
    *
    * @param status the response's status
    * @param headers its header fields
-   * @param onlyRequest whether the connection has carried no other request
+   * @param carried the requests that the connection has carried, the current one among them
    * @return the owner
    */
-  ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest);
+  ResponseOwner ownerOf(int status, HttpHeaders headers, CarriedRequests carried);
 
   /**
    * Returns the id by which responses to the request are recognised. A connection that has carried
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseOwner.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ResponseOwner.java
@@ -6,7 +6,7 @@
   CURRENT,
   /** The current request, because there was no other. A late copy could not be recognised. */
   CURRENT_BY_ELIMINATION,
-  /** Certainly another request, as the response itself says. */
+  /** Certainly another request of the connection, as the response itself says. */
   ANOTHER,
   /** Possibly the current request, so that no later response may be taken for its own. */
   UNKNOWN;
--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -18,9 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Deque;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,10 +26,10 @@
  *
  * <p>A response is accepted only if it is complete and belongs to the current request. A response
  * without a length ends with its connection; it is complete only if the whole request was written
- * and no error of the connection was seen. A response to another request is skipped, and the
- * connection is closed after the exchange. A response that may or may not be that to the current
- * request ends the exchange, so that nothing that follows can replace it. Confined to the event
- * loop.
+ * and no error of the connection was seen. A response to another request that the connection has
+ * carried is skipped, and the connection is closed after the exchange. A response that may or may
+ * not be that to the current request ends the exchange, so that nothing that follows can replace
+ * it. Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT_FIELD = "timeout=";
@@ -45,19 +43,15 @@
   /** Limit on what a server may send in an exchange besides the body, in bytes. */
   private static final int MAX_OVERHEAD_BYTES = 131_072;
 
-  /** Ids of requests that a connection remembers. Late responses come soon after their requests. */
-  private static final int MAX_REMEMBERED_IDS = 32;
-
   private final HttpClient client;
   private final String connectionPoolKey;
   private final HttpClientSettings limits;
-  private final Deque<String> carriedIds = new ArrayDeque<>();
+  private final CarriedRequests carried = new CarriedRequests();
   private @Nullable Channel channel;
   private @Nullable Exchange exchange;
   private @Nullable HttpResponse head;
   private byte[] body = new byte[0];
   private int bodyLength;
-  private int exchanges;
   private long receivedBytes;
   private boolean headReceived;
   private boolean skippingResponse;
@@ -120,8 +114,7 @@
       return;
     }
     exchange = e;
-    exchanges++;
-    e.request().responseMatcher().requestId().ifPresent(this::remember);
+    carried.add(e.request().responseMatcher());
     requestWritten = false;
     receivedBytes = 0;
     headReceived = false;
@@ -136,16 +129,9 @@
         });
   }
 
-  private void remember(String id) {
-    carriedIds.addFirst(id);
-    if (carriedIds.size() > MAX_REMEMBERED_IDS) {
-      carriedIds.removeLast();
-    }
-  }
-
   /** Checks whether the connection has carried a request with the same id lately. */
   boolean hasCarried(OutgoingRequest r) {
-    return r.responseMatcher().requestId().filter(carriedIds::contains).isPresent();
+    return r.responseMatcher().requestId().filter(carried::include).isPresent();
   }
 
   private static DefaultFullHttpRequest toNettyRequest(OutgoingRequest r) {
@@ -224,7 +210,7 @@
 
   private void attribute(HttpResponse r, ResponseMatcher matcher) {
     int status = r.status().code();
-    ResponseOwner owner = matcher.ownerOf(status, r.headers(), exchanges == 1);
+    ResponseOwner owner = matcher.ownerOf(status, r.headers(), carried);
     if (owner == ResponseOwner.UNKNOWN) {
       fail(new ExchangeResult.Unattributed(status));
       return;
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
@@ -2,6 +2,7 @@
 
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -9,13 +10,21 @@
 /** Reads and writes the header fields that callers, hosts and upstreams exchange. Thread-safe. */
 public interface UpstreamHeaders {
   /**
-   * Returns the id of a request, or of the request that a response belongs to.
+   * Returns the id of a request.
    *
-   * @param headers a message's header fields
+   * @param headers the request's header fields
    * @return the id
    */
   Optional<String> requestId(HttpHeaders headers);
 
+  /**
+   * Returns the id of the request that a response belongs to.
+   *
+   * @param headers the response's header fields
+   * @return the values of all fields that hold it, which need not agree
+   */
+  List<String> respondedIds(HttpHeaders headers);
+
   /**
    * Sets the request id on a response that this host creates itself.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -51,15 +51,18 @@
   /** Takes a response with the id "none" for one that only the first request can own. */
   private record MatchById(String id) implements ResponseMatcher {
     @Override
-    public ResponseOwner ownerOf(int status, HttpHeaders headers, boolean onlyRequest) {
+    public ResponseOwner ownerOf(int status, HttpHeaders headers, CarriedRequests carried) {
       String responseId = headers.get("id");
       if (responseId == null) {
         return ResponseOwner.UNKNOWN;
       }
       if (responseId.equals("none")) {
-        return onlyRequest ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
+        return carried.isOnlyOne() ? ResponseOwner.CURRENT_BY_ELIMINATION : ResponseOwner.UNKNOWN;
       }
-      return responseId.equals(id) ? ResponseOwner.CURRENT : ResponseOwner.ANOTHER;
+      if (responseId.equals(id)) {
+        return ResponseOwner.CURRENT;
+      }
+      return carried.include(responseId) ? ResponseOwner.ANOTHER : ResponseOwner.UNKNOWN;
     }
 
     @Override
@@ -104,6 +107,9 @@
 
   @Test
   void shouldSkipAResponseAndCloseWhenItBelongsToAnotherRequest() {
+    sendRequest("1");
+    receive(response("1", "abc"));
+    results.clear();
     sendRequest("2");
     receive(response("1", "old"));
     assertThat(results).isEmpty();
@@ -115,7 +121,15 @@
 
   /** Guards against a response that is skipped, so that one that follows takes its place. */
   @ParameterizedTest
-  @CsvSource({"500, '', 1", "500, '', 2", "200, '', 1", "200, '', 2", "503, 'id: none\r\n', 2"})
+  @CsvSource({
+    "500, '', 1",
+    "500, '', 2",
+    "200, '', 1",
+    "200, '', 2",
+    "503, 'id: none\r\n', 2",
+    "500, 'id: 9\r\n', 1",
+    "200, 'id: 9\r\n', 2"
+  })
   void shouldEndTheExchangeAtOnceWhenTheOwnerOfAResponseIsUnknown(
       int status, String idField, int exchangeCount) {
     for (int i = 1; i < exchangeCount; i++) {
@@ -323,6 +337,9 @@
         "HTTP/1.1 200 OK\r\nid: 2\r\nContent-Length: 5\r\n\r\nabcde"
       })
   void shouldFailWhenBytesWithoutAResponseNeverEnd(String repeated) {
+    sendRequest("2");
+    receive(response("2", "abc"));
+    results.clear();
     sendRequest("1");
     String text = repeated.repeat(100);
     for (long sent = 0; sent < 400_000 && results.isEmpty(); sent += text.length()) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/site/FakeUpstreamHeaders.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/site/FakeUpstreamHeaders.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.lang.reflect.Proxy;
-import java.util.Optional;
 
 /** Reads a few short field names in place of the platform's. Other methods are not supported. */
 public final class FakeUpstreamHeaders {
@@ -32,8 +31,7 @@
             new Class<?>[] {UpstreamHeaders.class},
             (proxy, method, arguments) ->
                 switch (method.getName()) {
-                  case "requestId" ->
-                      Optional.ofNullable(((HttpHeaders) arguments[0]).get(REQUEST_ID));
+                  case "respondedIds" -> ((HttpHeaders) arguments[0]).getAll(REQUEST_ID);
                   case "reportsNotRun" -> ((HttpHeaders) arguments[1]).contains(NOT_EXECUTED);
                   case "isSigned" -> ((HttpHeaders) arguments[0]).contains(SIGNED);
                   case "isProbeResponse" ->
