Upstream limits: smaller shares for schedulers that may not be the only one

With shares of 1, 0.25 and 0.25 three schedulers could send 6 N + 4 of the 6 N + 5 requests that an upstream allows in 4 s, so that some 20 ms between placement and arrival would break the bound at 50 a second. With 0.2 it is 5.6 N + 4.

--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/LimitShare.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/LimitShare.java
@@ -10,12 +10,12 @@
  */
 public final class LimitShare {
   /** Upper bound on the sum of all shares at any time. */
-  public static final double MAX_TOTAL = 1.5;
+  public static final double MAX_TOTAL = 1.4;
 
   /** Time for which a host has to be the first in the ranking before it has the whole share. */
   private static final long SETTLING_MS = 4_000;
 
-  private static final double REDUCED = 0.25;
+  private static final double REDUCED = 0.2;
 
   /** Part of the known hosts that a minority must have; bounds the number of separate groups. */
   private static final double MIN_MINORITY = 0.25;
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LimitSharesTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LimitSharesTest.java
@@ -75,7 +75,7 @@
   void shouldHaveTheWholeShareWhenTheHostIsTheFirstForLongEnough() {
     PeerTable peers = tableOf(ranking.get(0));
     LimitShares shares = sharesOf(ranking.get(0), peers);
-    assertThat(shareAfter(SETTLING_MS - STEP_MS, shares, peers, ranking)).isEqualTo(0.25);
+    assertThat(shareAfter(SETTLING_MS - STEP_MS, shares, peers, ranking)).isEqualTo(0.2);
     assertThat(shareAfter(STEP_MS, shares, peers, ranking)).isEqualTo(1);
   }
 
@@ -83,7 +83,7 @@
   void shouldHaveLessOrNothingWhenTheHostIsNotTheFirst() {
     PeerTable second = tableOf(ranking.get(1));
     assertThat(shareAfter(20_000, sharesOf(ranking.get(1), second), second, ranking))
-        .isEqualTo(0.25);
+        .isEqualTo(0.2);
     PeerTable third = tableOf(ranking.get(2));
     assertThat(shareAfter(20_000, sharesOf(ranking.get(2), third), third, ranking)).isZero();
   }
@@ -94,7 +94,7 @@
     String self = ranking.get(3);
     PeerTable peers = tableOf(self);
     LimitShares shares = sharesOf(self, peers);
-    assertThat(shareAfter(20_000, shares, peers, List.of())).isEqualTo(0.0625);
+    assertThat(shareAfter(20_000, shares, peers, List.of())).isEqualTo(0.05);
   }
 
   @Test
@@ -105,7 +105,7 @@
     LimitShares shares = sharesOf("a", peers);
     assertThat(shareAfter(20_000, shares, peers, List.of())).isZero();
     knowsHosts = true;
-    assertThat(shareAfter(STEP_MS, shares, peers, List.of())).isEqualTo(0.25);
+    assertThat(shareAfter(STEP_MS, shares, peers, List.of())).isEqualTo(0.2);
   }
 
   @Test
@@ -115,8 +115,8 @@
     PeerTable peers = tableOf(self);
     LimitShares shares = sharesOf(self, peers);
     assertThat(shareAfter(20_000, shares, peers, others)).isEqualTo(1);
-    assertThat(shareAfter(STEP_MS, shares, peers, ranking)).isEqualTo(0.25);
-    assertThat(shareAfter(SETTLING_MS, shares, peers, others)).isEqualTo(0.25);
+    assertThat(shareAfter(STEP_MS, shares, peers, ranking)).isEqualTo(0.2);
+    assertThat(shareAfter(SETTLING_MS, shares, peers, others)).isEqualTo(0.2);
     assertThat(shareAfter(8_000, shares, peers, others)).isEqualTo(1);
   }
 
@@ -128,7 +128,7 @@
     LimitShares shares = sharesOf(self, peers);
     assertThat(shareAfter(20_000, shares, peers, ranking)).isEqualTo(1);
     nowMs += LimitShares.MAX_GAP_MS + 1;
-    assertThat(shares.share(SERVICE, nowMs)).isEqualTo(0.25);
+    assertThat(shares.share(SERVICE, nowMs)).isEqualTo(0.2);
     assertThat(shareAfter(SETTLING_MS, shares, peers, ranking)).isEqualTo(1);
   }
 
@@ -138,6 +138,6 @@
     PeerTable peers = tableOf(self);
     LimitShares shares = sharesOf(self, peers);
     assertThat(shareAfter(20_000, shares, peers, ranking)).isEqualTo(1);
-    assertThat(shareAfter(10_000, shares, peers, List.of(self, ranking.get(1)))).isEqualTo(0.125);
+    assertThat(shareAfter(10_000, shares, peers, List.of(self, ranking.get(1)))).isEqualTo(0.1);
   }
 }
