Upstream connections: a response is delivered at the end of its read, not inside it

Cause: a complete response put its connection back to the idle ones and ran the callback at once, while the decoder still held the rest of the same read. A request that the callback placed took that connection, and bytes after the response ended its exchange; a call to the store, which takes every response, got an extra one as its answer.

Change: a complete response is kept until the read ends. What is decoded or received in between, or is left in the decoder without having become a message, makes the connection not reusable; only then is it released and the result delivered. A failure or close that comes first delivers the complete response. Neither a timer nor another connection's callback runs in between. Requests are encoded and responses decoded by handlers of their own in place of HttpClientCodec, which doesn't tell what it holds; responses to HEAD are decoded without a body as before.

--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -8,11 +8,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -29,7 +31,8 @@
  * and no error of the connection was seen. A response to another request that the connection has
  * carried is skipped, and the connection is closed after the exchange. A response that may or may
  * not be that to the current request ends the exchange, so that nothing that follows can replace
- * it. Confined to the event loop.
+ * it. A complete response is delivered at the end of the read that it came with, and the connection
+ * is reused only if nothing came after it. Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
   private static final String TIMEOUT_FIELD = "timeout=";
@@ -47,9 +50,11 @@
   private final String connectionPoolKey;
   private final HttpClientSettings limits;
   private final CarriedRequests carried = new CarriedRequests();
+  private final ResponseDecoder decoder = new ResponseDecoder();
   private @Nullable Channel channel;
   private @Nullable Exchange exchange;
   private @Nullable HttpResponse head;
+  private ExchangeResult.@Nullable Response undelivered;
   private byte[] body = new byte[0];
   private int bodyLength;
   private long receivedBytes;
@@ -94,7 +99,8 @@
   void addTo(ChannelPipeline pipeline) {
     pipeline
         .addLast(new ReceivedBytes())
-        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+        .addLast(decoder)
+        .addLast(new HttpRequestEncoder())
         .addLast(this);
   }
 
@@ -160,6 +166,10 @@
       close();
       return;
     }
+    if (undelivered != null) {
+      reusable = false;
+      return;
+    }
     if (msg instanceof HttpResponse r) {
       startResponse(r);
     }
@@ -183,6 +193,7 @@
       close();
       return;
     }
+    reusable &= undelivered == null;
     receivedBytes += bytes;
     int maxBodyBytes = headReceived ? limits.maxResponseBytes() : 0;
     if (receivedBytes > maxBodyBytes + (long) MAX_OVERHEAD_BYTES) {
@@ -263,9 +274,26 @@
     }
     reusable &= requestWritten && HttpUtil.isKeepAlive(r);
     readKeepAlive(r);
-    var response =
+    // The read may hold more bytes: a request that the result leads to must not meet them.
+    undelivered =
         new ExchangeResult.Response(
             r.status().code(), r.headers(), Arrays.copyOf(body, bodyLength));
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    deliver();
+    ctx.fireChannelReadComplete();
+  }
+
+  private void deliver() {
+    Exchange e = exchange;
+    ExchangeResult.Response response = undelivered;
+    if (e == null || response == null) {
+      return;
+    }
+    undelivered = null;
+    reusable &= !decoder.holdsBytes();
     release();
     e.complete(response);
   }
@@ -304,7 +332,13 @@
     fail(new ExchangeResult.Incomplete(cause));
   }
 
+  /** Ends the exchange. Nothing that follows a complete response changes its result. */
   private void fail(ExchangeResult result) {
+    if (undelivered != null) {
+      reusable = false;
+      deliver();
+      return;
+    }
     Exchange e = exchange;
     exchange = null;
     dropBody();
@@ -328,6 +362,23 @@
     ctx.fireChannelInactive();
   }
 
+  /** Decodes responses, and tells whether bytes are left. Confined to the event loop. */
+  private final class ResponseDecoder extends HttpResponseDecoder {
+    ResponseDecoder() {
+      super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+    }
+
+    boolean holdsBytes() {
+      return actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage m) {
+      boolean toHead = exchange != null && exchange.request().method().equals(HttpMethod.HEAD);
+      return toHead || super.isContentAlwaysEmpty(m);
+    }
+  }
+
   /** Counts the bytes that arrive, before they are decoded. Confined to the event loop. */
   private final class ReceivedBytes extends ChannelInboundHandlerAdapter {
     @Override
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -37,10 +37,14 @@
   }
 
   private static OutgoingRequest request(String id) {
+    return request(HttpMethod.GET, id);
+  }
+
+  private static OutgoingRequest request(HttpMethod method, String id) {
     return new OutgoingRequest(
         "pool",
         new Address("127.0.0.1", 80),
-        HttpMethod.GET,
+        method,
         "/",
         new DefaultHttpHeaders().set("id", id),
         new byte[0],
@@ -195,6 +199,52 @@
     assertThat(channel.isActive()).isFalse();
   }
 
+  /** Guards against a request that is sent while the rest of a read is still to be decoded. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "garbage",
+        "garbage garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 3\r\n\r\nabc"
+      })
+  void shouldNotBeReusableWhenBytesFollowTheResponseInTheSameRead(String rest) {
+    List<Boolean> reusable = new ArrayList<>();
+    connection.run(
+        new Exchange(request("1"), result -> reusable.add(client.hasIdleConnection("pool"))));
+    receive(response("1", "abc") + rest);
+    assertThat(reusable).containsExactly(false);
+    assertThat(client.hasIdleConnection("pool")).isFalse();
+    assertThat(channel.isActive()).isFalse();
+  }
+
+  @Test
+  void shouldDeliverACompleteResponseWhenTheConnectionFailsInTheSameRead() {
+    sendRequest("1");
+    channel.writeOneInbound(Unpooled.copiedBuffer(response("1", "abc"), StandardCharsets.UTF_8));
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+    assertThat(body(0)).isEqualTo("abc");
+    assertThat(client.hasIdleConnection("pool")).isFalse();
+  }
+
+  @Test
+  void shouldDeliverNothingWhenTheExchangeIsAbortedInTheReadOfItsResponse() {
+    Exchange e = sendRequest("1");
+    channel.writeOneInbound(Unpooled.copiedBuffer(response("1", "abc"), StandardCharsets.UTF_8));
+    e.abort();
+    channel.pipeline().fireChannelReadComplete();
+    assertThat(results).isEmpty();
+    assertThat(client.hasIdleConnection("pool")).isFalse();
+  }
+
+  @Test
+  void shouldExpectNoBodyWhenTheRequestAsksForNone() {
+    connection.run(new Exchange(request(HttpMethod.HEAD, "1"), results::add));
+    receive("HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 10\r\n\r\n");
+    assertThat(body(0)).isEmpty();
+    assertThat(client.hasIdleConnection("pool")).isTrue();
+  }
+
   @Test
   void shouldBeIncompleteWhenTheResponseIsMalformed() {
     sendRequest("1");
