HttpClient: the search for an idle connection is a plain loop

No change of behaviour: it ran a stream for each request. ServerConnectionTest, SecondResponseTest, UpstreamFaultsTest and StoreClientTest pass.

--- a/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/HttpClient.java
@@ -143,11 +143,15 @@
     if (pool == null) {
       return null;
     }
-    ServerConnection candidate =
-        pool.stream().filter(connection -> !connection.hasCarried(r)).findFirst().orElse(null);
-    if (candidate == null || !isReusable(candidate, r)) {
-      return null;
+    for (ServerConnection candidate : pool) {
+      if (!candidate.hasCarried(r)) {
+        return isReusable(candidate, r) ? removed(candidate) : null;
+      }
     }
+    return null;
+  }
+
+  private ServerConnection removed(ServerConnection candidate) {
     removeIdle(candidate);
     return candidate;
   }
