Upstream connections: a status that is not that of a response ends the exchange

Cause: 101 counted as informational, though the connection is no longer HTTP after it, and a status outside 200 to 599 was delivered to the caller.

Change: both end the exchange as incomplete.

Evidence: ServerConnectionTest.shouldBeIncompleteWhenTheStatusIsNotThatOfAResponse failed before in all five cases (101, 0, 99, 600, 999). After: ServerConnectionTest, *MatcherTest, SecondResponseTest, UpstreamFaultsTest, PlatformStoreTest, StoreClientTest and CallerConnectionTest pass.

--- a/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/net/ServerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -210,13 +211,27 @@
     headReceived = true;
     dropBody();
     Exchange e = exchange;
-    if (e != null && !isInformational(r)) {
-      attribute(r, e.request().responseMatcher());
+    if (e == null || isInformational(r)) {
+      return;
+    }
+    if (!isFinal(r)) {
+      failExchange("status " + r.status().code() + " is not that of a response");
+      return;
     }
+    attribute(r, e.request().responseMatcher());
   }
 
+  /** Checks whether another response follows. After 101 the connection is no longer HTTP. */
   private static boolean isInformational(HttpResponse r) {
-    return r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    return r.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        && r.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+  }
+
+  private static boolean isFinal(HttpResponse r) {
+    return switch (r.status().codeClass()) {
+      case SUCCESS, REDIRECTION, CLIENT_ERROR, SERVER_ERROR -> true;
+      default -> false;
+    };
   }
 
   private void attribute(HttpResponse r, ResponseMatcher matcher) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/net/ServerConnectionTest.java
@@ -182,6 +182,17 @@
     assertThat(connection.hasCarried(request("33"))).isFalse();
   }
 
+  /** Guards against a status that ends HTTP on the connection, or that is none. */
+  @ParameterizedTest
+  @ValueSource(ints = {101, 0, 99, 600, 999})
+  void shouldBeIncompleteWhenTheStatusIsNotThatOfAResponse(int status) {
+    sendRequest("1");
+    receive(
+        "HTTP/1.1 " + status + " X\r\nid: 1\r\nContent-Length: 0\r\n\r\n" + response("1", "abc"));
+    assertThat(results).singleElement().isInstanceOf(ExchangeResult.Incomplete.class);
+    assertThat(channel.isActive()).isFalse();
+  }
+
   @Test
   void shouldNotAttributeInformationalResponses() {
     sendRequest("1");
