--- a/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/limits/RequestCounter.java
@@ -8,7 +8,7 @@
  * another scheduler may have placed requests just before. Invariant: over any period, at most a
  * burst of 2 requests, or 1 with a reduced share, plus the rate times the period is allowed, where
  * the period is longer by {@value #MAX_RETURN_MS} ms if requests are returned. With shares of 1,
- * 0.25 and 0.25 and nothing returned, that is at most 6 times the limit plus 4 in any 4 s. Confined
+ * 0.2 and 0.2 and nothing returned, that is at most 5.6 times the limit plus 4 in any 4 s. Confined
  * to one thread.
  */
 public final class RequestCounter {
