Idempotency keys: claim again when the holder releases the key between the conflict and the read

A caller whose key was being released got an error instead of the key. Cause: after a conflict the row is read to see who holds the key; if the holder released it in between, there is no row, and the claim failed. It is claimed again now, at most five times.

--- a/storage/src/main/java/dev/cactusstack/storage/HttpClaimStore.java
+++ b/storage/src/main/java/dev/cactusstack/storage/HttpClaimStore.java
@@ -31,6 +31,7 @@
   private static final int MAX_UPDATE_ATTEMPTS = 8;
 
   private static final long FIRST_RETRY_DELAY_MS = 250;
+  private static final int MAX_CLAIM_ATTEMPTS = 5;
 
   private final HttpClient httpClient;
   private final String baseUrl;
@@ -53,22 +54,34 @@
   public CompletableFuture<ClaimOutcome> claim(ClaimKey key, String holder) {
     Objects.requireNonNull(key, "key is null");
     Objects.requireNonNull(holder, "holder is null");
+    return claim(key, holder, 1);
+  }
+
+  private CompletableFuture<ClaimOutcome> claim(ClaimKey key, String holder, int attempt) {
     return commit(key, 0, claimValue(key, holder, "running", 0))
         .handle(
             (response, t) ->
                 t == null && response.status() == OK
                     ? CompletableFuture.<ClaimOutcome>completedFuture(new ClaimOutcome.Granted())
-                    : readOutcome(key, holder, t))
+                    : readOutcome(key, holder, t, attempt))
         .thenCompose(f -> f);
   }
 
-  /** After a conflict or a lost response, the row shows which holder has the key. */
+  /**
+   * After a conflict or a lost response, the row shows which holder has the key. If there is none
+   * after a conflict, its holder has released the key in the meantime, and it is claimed again.
+   */
   private CompletableFuture<ClaimOutcome> readOutcome(
-      ClaimKey key, String holder, @Nullable Throwable commitFailure) {
+      ClaimKey key, String holder, @Nullable Throwable commitFailure, int attempt) {
     boolean mayBeRecorded =
         commitFailure != null && HttpException.fromThrowable(commitFailure).mayHaveBeenProcessed();
+    boolean mayClaimAgain = commitFailure == null && attempt < MAX_CLAIM_ATTEMPTS;
     return read(key)
-        .thenApply(row -> outcome(row, key, holder))
+        .thenCompose(
+            row ->
+                mayClaimAgain && row.path("value").isMissingNode()
+                    ? claim(key, holder, attempt + 1)
+                    : CompletableFuture.completedFuture(outcome(row, key, holder)))
         .whenComplete(
             (o, t) -> {
               if (mayBeRecorded && !(o instanceof ClaimOutcome.Granted)) {
--- a/storage/src/test/java/dev/cactusstack/storage/HttpClaimStoreTest.java
+++ b/storage/src/test/java/dev/cactusstack/storage/HttpClaimStoreTest.java
@@ -23,6 +23,7 @@
   private static final ClaimKey KEY = new ClaimKey(new ServiceName("booking"), "a1", "b2");
   private static final Duration TIMEOUT = Duration.ofMillis(400);
   private static final long LATE_MS = 1_500;
+  private static final int RELEASES = 300;
 
   /** Keeps a failing test from hanging. */
   private static final long WAIT_MS = 20_000;
@@ -45,7 +46,7 @@
     long deadlineNanos = System.nanoTime() + Duration.ofMillis(WAIT_MS).toNanos();
     while (!(store.claim(KEY, holder).join() instanceof ClaimOutcome.Granted)) {
       assertThat(System.nanoTime()).as("the key stays claimed").isLessThan(deadlineNanos);
-      Thread.sleep(50);
+      Thread.sleep(1);
     }
   }
 
@@ -69,6 +70,16 @@
     awaitGrantTo("second");
   }
 
+  /** Guards against an error when the holder releases the key between a conflict and the read. */
+  @Test
+  void shouldGrantTheKeyWhenItIsReleasedWhileItIsClaimed() throws Exception {
+    for (int i = 0; i < RELEASES; i++) {
+      String holder = "holder" + i;
+      awaitGrantTo(holder);
+      store.release(KEY, holder);
+    }
+  }
+
   @Test
   void shouldRecordTheStatusWhenTheTableServiceIsDownAtFirst() throws Exception {
     assertThat(store.claim(KEY, "first").join()).isInstanceOf(ClaimOutcome.Granted.class);
