Model: workspaces, roll-outs and versions

The configuration carries workspaces (digests of their API keys, priority, quota), public routes and roll-out orders, and a registration carries the version of the upstream's software. Nothing uses them yet.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -7,6 +7,7 @@
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.model.site.CallerLimits;
+import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.SiteConfiguration;
 import io.netty.channel.EventLoop;
 import java.util.Collection;
@@ -193,14 +194,20 @@
             receivedConfiguration.version(),
             receivedConfiguration.routes(),
             receivedConfiguration.services(),
-            receivedConfiguration.limits());
+            receivedConfiguration.limits(),
+            receivedConfiguration.workspaces());
+    Map<String, Optional<RolloutOrder>> rollouts = new HashMap<>();
+    receivedConfiguration
+        .rollouts()
+        .forEach((service, order) -> rollouts.put(service, Optional.of(order)));
     apply(
         new ConfigurationChange(
             receivedConfiguration.revision(),
             received.lastChangeRevision(),
             true,
             Optional.of(rules),
-            evacuations));
+            evacuations,
+            rollouts));
   }
 
   /**
@@ -377,7 +384,8 @@
                 evacuated.remove(evacuationKey);
               }
             });
-    SiteConfiguration next = merge(previous, change, evacuated);
+    Map<String, RolloutOrder> rollouts = mergeRollouts(previous, change);
+    SiteConfiguration next = merge(previous, change, evacuated, rollouts);
     if (next == null) {
       return;
     }
@@ -387,12 +395,17 @@
     if (rulesChanged) {
       routeMatcher = new RouteMatcher(next.routes());
     }
-    boolean changed = previous == null || rulesChanged || !previous.evacuated().equals(evacuated);
+    boolean changed =
+        previous == null
+            || rulesChanged
+            || !previous.evacuated().equals(evacuated)
+            || !previous.rollouts().equals(rollouts);
     if (changed) {
       log.event("configuration")
           .with("version", next.version())
           .with("revision", next.revision())
           .with("evacuated", evacuated.toString())
+          .with("rollouts", rollouts.keySet().toString())
           .write();
       changeListener.run();
     }
@@ -405,8 +418,26 @@
     }
   }
 
+  private static Map<String, RolloutOrder> mergeRollouts(
+      @Nullable SiteConfiguration previous, ConfigurationChange change) {
+    Map<String, RolloutOrder> rollouts = new HashMap<>();
+    if (previous != null && !change.fullSnapshot()) {
+      rollouts.putAll(previous.rollouts());
+    }
+    change
+        .rollouts()
+        .forEach(
+            (service, order) ->
+                order.ifPresentOrElse(
+                    placed -> rollouts.put(service, placed), () -> rollouts.remove(service)));
+    return rollouts;
+  }
+
   private static @Nullable SiteConfiguration merge(
-      @Nullable SiteConfiguration previous, ConfigurationChange change, Set<String> evacuated) {
+      @Nullable SiteConfiguration previous,
+      ConfigurationChange change,
+      Set<String> evacuated,
+      Map<String, RolloutOrder> rollouts) {
     if (change.rules().isPresent()
         && (previous == null || change.rules().get().version() > previous.version())) {
       ConfigurationChange.RoutingRules routingRules = change.rules().get();
@@ -416,7 +447,9 @@
           routingRules.routes(),
           routingRules.services(),
           routingRules.limits(),
-          evacuated);
+          evacuated,
+          routingRules.workspaces(),
+          rollouts);
     }
     if (previous == null) {
       return null;
@@ -427,6 +460,8 @@
         previous.routes(),
         previous.services(),
         previous.limits(),
-        evacuated);
+        evacuated,
+        previous.workspaces(),
+        rollouts);
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
@@ -3,17 +3,21 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
+import dev.cactusstack.model.site.ApiKeyDigest;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.RequestKind;
+import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.SiteConfiguration;
+import dev.cactusstack.model.site.Workspace;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /** Encodes and decodes a configuration for messages between hosts. Stateless and thread-safe. */
@@ -41,6 +45,14 @@
     for (String dataCentre : siteConfiguration.evacuated()) {
       out.writeStringNoTag(dataCentre);
     }
+    out.writeUInt32NoTag(siteConfiguration.workspaces().size());
+    for (Workspace workspace : siteConfiguration.workspaces().values()) {
+      writeWorkspace(out, workspace);
+    }
+    out.writeUInt32NoTag(siteConfiguration.rollouts().size());
+    for (RolloutOrder order : siteConfiguration.rollouts().values()) {
+      writeRollout(out, order);
+    }
   }
 
   static ConfigurationSnapshot read(CodedInputStream in) throws IOException {
@@ -62,8 +74,20 @@
     for (int n = LinkCodec.readCount(in); n > 0; n--) {
       evacuated.add(in.readString());
     }
+    Map<String, Workspace> workspaces = new HashMap<>();
+    for (int n = LinkCodec.readCount(in); n > 0; n--) {
+      Workspace workspace = readWorkspace(in);
+      workspaces.put(workspace.name(), workspace);
+    }
+    Map<String, RolloutOrder> rollouts = new HashMap<>();
+    for (int n = LinkCodec.readCount(in); n > 0; n--) {
+      RolloutOrder order = readRollout(in);
+      rollouts.put(order.service(), order);
+    }
     return new ConfigurationSnapshot(
-        new SiteConfiguration(revision, version, routes, services, limits, evacuated), changedAt);
+        new SiteConfiguration(
+            revision, version, routes, services, limits, evacuated, workspaces, rollouts),
+        changedAt);
   }
 
   private static void writeRoute(CodedOutputStream out, RouteRule route) throws IOException {
@@ -80,6 +104,7 @@
       out.writeStringNoTag(weighted.service());
       out.writeDoubleNoTag(weighted.weight());
     }
+    out.writeBoolNoTag(route.isPublic());
   }
 
   private static RouteRule readRoute(CodedInputStream in) throws IOException {
@@ -96,7 +121,53 @@
       targets.add(new RouteRule.WeightedService(in.readString(), in.readDouble()));
     }
     return new RouteRule(
-        name, host, prefix, kind, timeoutMs, objectiveMs, priority, maxAttempts, targets);
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMs,
+        objectiveMs,
+        priority,
+        maxAttempts,
+        targets,
+        in.readBool());
+  }
+
+  private static void writeWorkspace(CodedOutputStream out, Workspace workspace)
+      throws IOException {
+    out.writeStringNoTag(workspace.name());
+    out.writeUInt32NoTag(workspace.keys().size());
+    for (ApiKeyDigest key : workspace.keys()) {
+      out.writeFixed64NoTag(key.high());
+      out.writeFixed64NoTag(key.low());
+    }
+    out.writeBoolNoTag(workspace.priority().isPresent());
+    if (workspace.priority().isPresent()) {
+      out.writeSInt32NoTag(workspace.priority().getAsInt());
+    }
+    out.writeDoubleNoTag(workspace.requestsPerSecond());
+    out.writeDoubleNoTag(workspace.burst());
+  }
+
+  private static Workspace readWorkspace(CodedInputStream in) throws IOException {
+    String name = in.readString();
+    Set<ApiKeyDigest> keys = new HashSet<>();
+    for (int n = LinkCodec.readCount(in); n > 0; n--) {
+      keys.add(new ApiKeyDigest(in.readFixed64(), in.readFixed64()));
+    }
+    OptionalInt priority = in.readBool() ? OptionalInt.of(in.readSInt32()) : OptionalInt.empty();
+    return new Workspace(name, keys, priority, in.readDouble(), in.readDouble());
+  }
+
+  private static void writeRollout(CodedOutputStream out, RolloutOrder order) throws IOException {
+    out.writeStringNoTag(order.service());
+    out.writeStringNoTag(order.version());
+    out.writeUInt64NoTag(order.durationMs());
+    out.writeUInt64NoTag(order.revision());
+  }
+
+  private static RolloutOrder readRollout(CodedInputStream in) throws IOException {
+    return new RolloutOrder(in.readString(), in.readString(), in.readUInt64(), in.readUInt64());
   }
 
   private static void writeService(CodedOutputStream out, ServiceSettings settings)
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -28,7 +28,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 5;
+  private static final int FORMAT_VERSION = 6;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
@@ -243,6 +243,7 @@
     for (String excludedId : placementRequest.excludedUpstreams()) {
       out.writeStringNoTag(excludedId);
     }
+    out.writeStringNoTag(placementRequest.workspace());
   }
 
   private static PlacementRequest readRequest(CodedInputStream in) throws IOException {
@@ -269,7 +270,8 @@
         deadlineLeftMs,
         transferSize,
         isHedge,
-        excludedIds);
+        excludedIds,
+        in.readString());
   }
 
   private static void writeDecision(CodedOutputStream out, PlacementDecision placementDecision)
@@ -304,6 +306,7 @@
     out.writeStringNoTag(u.dataCentre());
     out.writeUInt32NoTag(u.slots());
     out.writeUInt64NoTag(u.startedAtMs());
+    out.writeStringNoTag(u.version());
   }
 
   private static UpstreamRegistration readUpstream(CodedInputStream in) throws IOException {
@@ -316,7 +319,8 @@
         false,
         0,
         in.readUInt64(),
-        0);
+        0,
+        in.readString());
   }
 
   private static void writeAttempts(CodedOutputStream out, LinkMessage.AttemptsEnded ended)
--- a/model/src/main/java/dev/cactusstack/model/site/RouteRule.java
+++ b/model/src/main/java/dev/cactusstack/model/site/RouteRule.java
@@ -17,6 +17,7 @@
  * @param priority priority among routes; 0 is the highest
  * @param maxAttempts maximum number of upstreams to which one request may be sent
  * @param weightedServices the services among which the route's requests are divided
+ * @param isPublic whether callers need no API key
  */
 public record RouteRule(
     String name,
@@ -27,7 +28,8 @@
     long latencyObjectiveMs,
     int priority,
     int maxAttempts,
-    List<WeightedService> weightedServices) {
+    List<WeightedService> weightedServices,
+    boolean isPublic) {
 
   /** Checks and copies the components. */
   public RouteRule {
@@ -41,6 +43,42 @@
     }
   }
 
+  /**
+   * Creates a route that is not public.
+   *
+   * @param name the name that operators gave the route
+   * @param host the host name in lower case, without a port
+   * @param prefix the path prefix
+   * @param kind whether requests can safely be retried
+   * @param timeoutMs maximum total time of a request, in milliseconds
+   * @param latencyObjectiveMs latency objective, in milliseconds
+   * @param priority priority among routes; 0 is the highest
+   * @param maxAttempts maximum number of upstreams to which one request may be sent
+   * @param weightedServices the services among which the route's requests are divided
+   */
+  public RouteRule(
+      String name,
+      String host,
+      String prefix,
+      RequestKind kind,
+      long timeoutMs,
+      long latencyObjectiveMs,
+      int priority,
+      int maxAttempts,
+      List<WeightedService> weightedServices) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMs,
+        latencyObjectiveMs,
+        priority,
+        maxAttempts,
+        weightedServices,
+        false);
+  }
+
   /**
    * A service and its share of the route's requests.
    *
--- a/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
+++ b/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
@@ -14,6 +14,8 @@
  * @param services all services by name
  * @param limits limits on the requests of callers
  * @param evacuated names of the data centres that receive no traffic
+ * @param workspaces all workspaces by name; empty if callers need no API key
+ * @param rollouts the roll-out orders by service
  */
 public record SiteConfiguration(
     long revision,
@@ -21,12 +23,36 @@
     List<RouteRule> routes,
     Map<String, ServiceSettings> services,
     CallerLimits limits,
-    Set<String> evacuated) {
+    Set<String> evacuated,
+    Map<String, Workspace> workspaces,
+    Map<String, RolloutOrder> rollouts) {
   /** Checks and copies the components. */
   public SiteConfiguration {
     routes = List.copyOf(routes);
     services = Map.copyOf(services);
     Objects.requireNonNull(limits, "limits is null");
     evacuated = Set.copyOf(evacuated);
+    workspaces = Map.copyOf(workspaces);
+    rollouts = Map.copyOf(rollouts);
+  }
+
+  /**
+   * Creates a configuration without workspaces and roll-outs.
+   *
+   * @param revision the store's revision of this configuration
+   * @param version the version that operators gave the routes
+   * @param routes all routes
+   * @param services all services by name
+   * @param limits limits on the requests of callers
+   * @param evacuated names of the data centres that receive no traffic
+   */
+  public SiteConfiguration(
+      long revision,
+      long version,
+      List<RouteRule> routes,
+      Map<String, ServiceSettings> services,
+      CallerLimits limits,
+      Set<String> evacuated) {
+    this(revision, version, routes, services, limits, evacuated, Map.of(), Map.of());
   }
 }
