Upstreams: a host waits longer for a read when its registrations are older than a drain

A host that is not a scheduler reads registrations only when it decides alone, so its last read can be from its start. It waited at most 150 ms for the new read and then placed by the old registrations. Ruled out: an ended registration that is forgotten (kept for 60 s); a host that did not see the change in its polls (all schedulers logged it within 0.7 s).

Registrations of 2 s and older now wait up to 600 ms, as the first read does; a read that fails ends the wait as before.

Test: shouldWaitLongerForAReadWhenTheRegistrationsAreOlderThanADrain failed before.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -40,8 +40,14 @@
   private static final long POLL_AFTER_USE_MS = 4_000;
   private static final long MAX_READ_WAIT_MS = 150;
 
-  /** Longer, because without any registration no request can be placed. */
-  private static final long MAX_FIRST_READ_WAIT_MS = 600;
+  /**
+   * Longer, because without any registration no request can be placed, and by old ones requests
+   * reach upstreams that have left.
+   */
+  private static final long MAX_NEEDED_READ_WAIT_MS = 600;
+
+  /** Age of registrations from which an upstream may have completed a drain since. */
+  private static final long DRAIN_MS = 2_000;
 
   private static final long RENEWAL_TIME_MS = 2_200;
   private static final long UNKNOWN_REVISION = -1;
@@ -141,7 +147,8 @@
     }
     waitingTasks.add(task);
     if (waitingTasks.size() == 1) {
-      long waitMs = isNeverRead() ? MAX_FIRST_READ_WAIT_MS : MAX_READ_WAIT_MS;
+      boolean readNeeded = isNeverRead() || now - lastReadAtMs >= DRAIN_MS;
+      long waitMs = readNeeded ? MAX_NEEDED_READ_WAIT_MS : MAX_READ_WAIT_MS;
       loop.schedule(this::runWaitingTasks, waitMs, TimeUnit.MILLISECONDS);
     }
     read();
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/UpstreamsControllerTest.java
@@ -119,6 +119,20 @@
     assertThat(taskRuns).isEqualTo(1);
   }
 
+  /** Guards against a request to an upstream that began to leave long before, unread so far. */
+  @Test
+  void shouldWaitLongerForAReadWhenTheRegistrationsAreOlderThanADrain() {
+    controller.runWhenFresh(() -> taskRuns++);
+    completeRead(0, change(10, true, upstream("a", false, 0, 1)));
+    time.run(16_000);
+    controller.runWhenFresh(() -> assertThat(usableIds()).isEmpty());
+    controller.runWhenFresh(() -> taskRuns++);
+    time.run(400);
+    assertThat(taskRuns).isEqualTo(1);
+    completeRead(1, change(11, false, upstream("a", true, 0, 1)));
+    assertThat(taskRuns).isEqualTo(2);
+  }
+
   @Test
   void shouldRunTheTaskWithoutUpstreamsWhenTheFirstReadTakesTooLong() {
     runTask();
