--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -419,6 +419,20 @@
         .min();
   }
 
+  /**
+   * Returns the age of the youngest heartbeat of a host that has lately read the store.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return the age in milliseconds; empty if no other host's last heartbeat says so
+   */
+  public OptionalLong confirmedHeartbeatAgeMs(long nowMs) {
+    return peers.values().stream()
+        .filter(p -> p.heartbeat.hostHash() != selfHash && p.sentAtMs != NEVER)
+        .filter(p -> p.heartbeat.storeContact() == StoreContact.CONFIRMED)
+        .mapToLong(p -> nowMs - p.sentAtMs)
+        .min();
+  }
+
   /**
    * Returns the number of registered hosts, dead or alive.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -335,4 +335,29 @@
     table.markLeaving();
     assertThat(table.countUsableWithin(60_000, 200)).isEqualTo(1);
   }
+
+  private static HeartbeatState heartbeat(
+      String name, long counter, StoreContact contact, long ageMs) {
+    return new HeartbeatState(PeerTable.hash(name), 1, counter, false, contact, true)
+        .withAge(ageMs);
+  }
+
+  /** Guards against a heartbeat that is passed on for long and taken for a new one. */
+  @Test
+  void shouldTellTheAgeOfTheYoungestHeartbeatOfAHostThatHasReadTheStore() {
+    var table = new PeerTable("self", DEAD_AFTER_MS, new SplittableRandom(1));
+    List.of("self", "a", "b", "c").forEach(name -> table.recordStart(host(name, 1), 0));
+    assertThat(table.confirmedHeartbeatAgeMs(0)).isEmpty();
+    table.startRound(StoreContact.CONFIRMED, true, 900);
+    table.mergeHeartbeats(
+        List.of(
+            heartbeat("a", 5, StoreContact.CONFIRMED, 700),
+            heartbeat("b", 5, StoreContact.CONFIRMED, 300),
+            heartbeat("c", 5, StoreContact.UNKNOWN, 10)),
+        1_000);
+    assertThat(table.confirmedHeartbeatAgeMs(1_000)).hasValue(300);
+    assertThat(table.confirmedHeartbeatAgeMs(1_500)).hasValue(800);
+    table.mergeHeartbeats(List.of(heartbeat("b", 6, StoreContact.FAILING, 0)), 1_500);
+    assertThat(table.confirmedHeartbeatAgeMs(1_500)).hasValue(1_200);
+  }
 }
