Workspaces: API keys are checked on arrival and before each send

On a site with workspaces a request for a route that is not public needs a key of a workspace; otherwise it gets 401, or 503 from a host that may lack a newer configuration. The key is checked again right before each send, so that a revoked one ends on open connections and in queues too. Upstreams get the workspace's name and never the key. The workspace's priority precedes the route's. Sites without workspaces forward all header fields as before.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -5,11 +5,13 @@
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
+import dev.cactusstack.gateway.callers.CallerAuthentication;
 import dev.cactusstack.gateway.callers.CallerListener;
 import dev.cactusstack.gateway.callers.ForwardingContext;
 import dev.cactusstack.gateway.callers.ForwardingHandler;
 import dev.cactusstack.gateway.callers.MetricsHandler;
 import dev.cactusstack.gateway.callers.RequestHandler;
+import dev.cactusstack.gateway.control.ConfigurationContact;
 import dev.cactusstack.gateway.control.ConfigurationController;
 import dev.cactusstack.gateway.control.HostsController;
 import dev.cactusstack.gateway.control.UpstreamsController;
@@ -196,6 +198,7 @@
             siteBounds.retryWindowMs(),
             siteBounds.retryRatio() * RETRY_RATIO_SHARE,
             () -> siteBounds.retryAllowance() * RETRY_ALLOWANCE_SHARE / peers.size());
+    var contact = new ConfigurationContact(clock, log, configuration, upstreams, peers);
     var tools =
         new ForwardingContext(
             settings.dataCentre(),
@@ -203,6 +206,8 @@
             clock,
             log,
             upstreamHeaders,
+            new CallerAuthentication(
+                configuration::workspaceKeys, contact::mayBeStale, upstreamHeaders),
             client,
             placement,
             noticeReader,
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerResponse.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerResponse.java
@@ -37,6 +37,9 @@
   public static CallerResponse problem(Refusal p) {
     HttpHeaders h = new DefaultHttpHeaders();
     h.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+    if (p == Refusal.UNAUTHORIZED) {
+      h.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+    }
     return new CallerResponse(p.status(), h, p.body());
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -14,14 +14,17 @@
 import dev.cactusstack.gateway.net.OutgoingRequest;
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.RouteMetrics;
+import dev.cactusstack.gateway.observe.WorkspaceMetrics;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import dev.cactusstack.model.site.Workspace;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +36,8 @@
  *
  * <p>Invariants: the caller gets exactly one response. A request that is not idempotent is retried
  * only after proof that it was not executed. It is reported as not executed only when this is
- * proved for every attempt. Confined to the event loop.
+ * proved for every attempt. Nothing is sent for an API key that is no longer valid, and on a site
+ * with workspaces no attempt carries the key. Confined to the event loop.
  */
 final class ForwardedRequest implements RequestHandler.Cancellable {
   private static final int MAX_EXTRA_SENDS = 2;
@@ -46,6 +50,7 @@
   private final CallerRequest request;
   private final String id;
   private final RouteRule route;
+  private final Optional<Workspace> workspace;
   private final Consumer<CallerResponse> responseConsumer;
   private final String service;
   private final long deadlineAtMs;
@@ -61,6 +66,7 @@
   private int reachedUpstreamCount;
   private int possibleExecutions;
   private boolean mayHaveRun;
+  private boolean removesKey;
   private boolean done;
 
   ForwardedRequest(
@@ -68,11 +74,14 @@
       CallerRequest request,
       String id,
       RouteRule route,
+      Optional<Workspace> workspace,
       Consumer<CallerResponse> responseConsumer) {
     this.context = context;
     this.request = request;
     this.id = id;
     this.route = route;
+    this.workspace = workspace;
+    this.removesKey = context.authentication().isActive();
     this.responseConsumer = responseConsumer;
     this.service = context.weightedRoundRobin().next(route);
     long callerTimeoutMs = context.wire().deadlineMs(request.headers()).orElse(route.timeoutMs());
@@ -99,6 +108,7 @@
     }
     event("cancelled").with("attempts", sends).write();
     figures().recordRefusal("cancelled");
+    recordWorkspaceOutcome("cancelled");
     done = true;
     stopTimers();
     cancelPlacement();
@@ -115,13 +125,14 @@
             key,
             context.dataCentre(),
             route.name(),
-            route.priority(),
+            priority(),
             route.latencyObjectiveMs(),
             Math.max(0, objectiveAtMs - now()),
             Math.max(0, remainingMs()),
             request.body().length + context.responseSizes().estimateBytes(route.name()),
             isHedge,
-            triedUpstreams);
+            triedUpstreams,
+            workspaceName());
     context.placement().requestPlacement(service, placementRequest, v -> decided(v, isHedge));
   }
 
@@ -152,6 +163,11 @@
       report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
       return;
     }
+    CallerAuthentication.Verdict verdict = context.authentication().check(route, request.headers());
+    if (!verdict.allowed()) {
+      refuseRevokedKey(p);
+      return;
+    }
     UpstreamNotices.Permission permission = notices().permission(p, now());
     if (permission != UpstreamNotices.Permission.ALLOWED) {
       decline(p, permission);
@@ -165,7 +181,18 @@
       }
       return;
     }
-    send(p);
+    send(p, verdict.workspace());
+  }
+
+  /**
+   * Returns a placement, because the key was revoked after the request arrived. A running attempt
+   * goes on.
+   */
+  private void refuseRevokedKey(PlacementDecision.Placed p) {
+    report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
+    if (activeAttempts.isEmpty()) {
+      giveUp(Refusal.UNAUTHORIZED, RETRY_AFTER_MS);
+    }
   }
 
   /**
@@ -195,11 +222,16 @@
     return allowed;
   }
 
-  private void send(PlacementDecision.Placed p) {
+  private void send(PlacementDecision.Placed p, Optional<Workspace> currentWorkspace) {
     UpstreamRegistration u = p.upstream();
     sends++;
     triedUpstreams.add(u.id());
     HttpHeaders headers = EndToEndHeaders.extract(request.headers());
+    // A configuration without workspaces may have come into force while the request waited.
+    removesKey |= context.authentication().isActive();
+    if (removesKey) {
+      context.wire().replaceCredentials(headers, currentWorkspace.map(Workspace::name).orElse(""));
+    }
     context.wire().addUpstreamHeaders(headers, remainingMs(), u.id());
     var attempt = new Attempt(p.key(), u, now());
     activeAttempts.add(attempt);
@@ -331,6 +363,7 @@
   private void deliver(ExchangeResult.Response r, UpstreamRegistration upstreamRegistration) {
     finish();
     figures().recordAnsweredRequest(now() - request.arrivedAtMs());
+    recordWorkspaceOutcome(WorkspaceMetrics.ANSWERED);
     event("answered")
         .with("status", r.status())
         .with("upstream", upstreamRegistration.id())
@@ -363,12 +396,14 @@
         && context.attemptClassifier().isForwardable(r)) {
       event("answered").with("status", r.status()).with("attempts", sends).write();
       figures().recordAnsweredRequest(now() - request.arrivedAtMs());
+      recordWorkspaceOutcome(WorkspaceMetrics.ANSWERED);
       responseConsumer.accept(
           new CallerResponse(r.status(), EndToEndHeaders.extract(r.headers()), r.body()));
       return;
     }
     Refusal refusal = truthfulRefusal(requestedRefusal);
     figures().recordRefusal(refusal.label());
+    recordWorkspaceOutcome(refusal.label());
     event("refused")
         .with("why", refusal.label())
         .with("attempts", sends)
@@ -377,7 +412,8 @@
         .write();
     CallerResponse a = CallerResponse.problem(refusal);
     context.wire().setRequestId(a.headers(), id);
-    responseConsumer.accept(mayHaveRun ? a : a.retryAfter(retryAfterMs));
+    boolean mayRetry = !mayHaveRun && refusal != Refusal.UNAUTHORIZED;
+    responseConsumer.accept(mayRetry ? a.retryAfter(retryAfterMs) : a);
   }
 
   /**
@@ -444,6 +480,19 @@
     return context.figures().route(route.name());
   }
 
+  private void recordWorkspaceOutcome(String outcome) {
+    workspace.ifPresent(w -> context.figures().workspaces().recordOutcome(w.name(), outcome));
+  }
+
+  private String workspaceName() {
+    return workspace.map(Workspace::name).orElse("");
+  }
+
+  private int priority() {
+    OptionalInt ofWorkspace = workspace.map(Workspace::priority).orElse(OptionalInt.empty());
+    return ofWorkspace.orElse(route.priority());
+  }
+
   private long now() {
     return context.clock().getAsLong();
   }
@@ -453,7 +502,8 @@
   }
 
   private EventLine event(String name) {
-    return context.log().event(name).with("id", id).with("route", route.name());
+    EventLine line = context.log().event(name).with("id", id).with("route", route.name());
+    return workspace.isPresent() ? line.with("workspace", workspaceName()) : line;
   }
 
   private static final class Attempt {
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -26,6 +26,7 @@
  * @param clock a monotonic clock, in milliseconds
  * @param log receives events
  * @param wire reads and writes header fields for upstreams
+ * @param authentication checks API keys
  * @param client sends requests to upstreams
  * @param placement assigns requests to upstreams
  * @param noticeReader reads and remembers what upstreams say about themselves
@@ -45,6 +46,7 @@
     LongSupplier clock,
     EventLog log,
     UpstreamHeaders wire,
+    CallerAuthentication authentication,
     HttpClient client,
     PlacementClient placement,
     NoticeReader noticeReader,
@@ -65,6 +67,7 @@
    * @param clock a monotonic clock, in milliseconds
    * @param log receives events
    * @param wire reads and writes header fields for upstreams
+   * @param authentication checks API keys
    * @param client sends requests to upstreams
    * @param placement assigns requests to upstreams
    * @param noticeReader reads and remembers what upstreams say about themselves
@@ -77,6 +80,7 @@
       LongSupplier clock,
       EventLog log,
       UpstreamHeaders wire,
+      CallerAuthentication authentication,
       HttpClient client,
       PlacementClient placement,
       NoticeReader noticeReader,
@@ -88,6 +92,7 @@
         clock,
         log,
         wire,
+        authentication,
         client,
         placement,
         noticeReader,
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
@@ -1,7 +1,9 @@
 package dev.cactusstack.gateway.callers;
 
 import dev.cactusstack.gateway.control.ConfigurationController;
+import dev.cactusstack.gateway.observe.WorkspaceMetrics;
 import dev.cactusstack.model.site.RouteRule;
+import dev.cactusstack.model.site.Workspace;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -13,6 +15,9 @@
 public final class ForwardingHandler implements RequestHandler {
   private static final long NOT_READY_RETRY_MS = 300;
 
+  /** Longer than a read of the store as a rule, which the refusal has caused. */
+  private static final long KEY_UNCHECKED_RETRY_MS = 300;
+
   private final ConfigurationController configuration;
   private final ForwardingContext context;
 
@@ -42,11 +47,34 @@
     if (route.isEmpty()) {
       return refuse(request, id.get(), Refusal.NO_ROUTE, responseConsumer);
     }
-    var forwarded = new ForwardedRequest(context, request, id.get(), route.get(), responseConsumer);
+    CallerAuthentication.Verdict verdict =
+        context.authentication().check(route.get(), request.headers());
+    if (!verdict.allowed()) {
+      return refuseKey(
+          request, id.get(), context.authentication().unknownKeyRefusal(), responseConsumer);
+    }
+    verdict
+        .workspace()
+        .map(Workspace::name)
+        .ifPresent(context.figures().workspaces()::recordRequest);
+    var forwarded =
+        new ForwardedRequest(
+            context, request, id.get(), route.get(), verdict.workspace(), responseConsumer);
     forwarded.start();
     return Optional.of(forwarded);
   }
 
+  private Optional<Cancellable> refuseKey(
+      CallerRequest request,
+      String id,
+      Refusal refusal,
+      Consumer<CallerResponse> responseConsumer) {
+    WorkspaceMetrics figures = context.figures().workspaces();
+    figures.recordRequest(WorkspaceMetrics.NO_WORKSPACE);
+    figures.recordOutcome(WorkspaceMetrics.NO_WORKSPACE, refusal.label());
+    return refuse(request, id, refusal, responseConsumer);
+  }
+
   private Optional<Cancellable> refuse(
       CallerRequest request,
       String id,
@@ -64,7 +92,15 @@
     if (!id.isEmpty()) {
       context.wire().setRequestId(a.headers(), id);
     }
-    responseConsumer.accept(refusal == Refusal.NOT_READY ? a.retryAfter(NOT_READY_RETRY_MS) : a);
+    responseConsumer.accept(withRetryAfter(a, refusal));
     return Optional.of(Cancellable.COMPLETED);
   }
+
+  private static CallerResponse withRetryAfter(CallerResponse response, Refusal refusal) {
+    return switch (refusal) {
+      case NOT_READY -> response.retryAfter(NOT_READY_RETRY_MS);
+      case KEY_UNCHECKED -> response.retryAfter(KEY_UNCHECKED_RETRY_MS);
+      default -> response;
+    };
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
@@ -9,6 +9,8 @@
   MALFORMED(400, "the request can't be read", "send a well-formed HTTP/1.1 request"),
   /** The request has no id. */
   NO_ID(400, "the request has no id", "send a request id"),
+  /** The route needs an API key of a workspace, and the request has none. */
+  UNAUTHORIZED(401, "no valid API key", "send an API key of a workspace as bearer token"),
   /** No route matches. */
   NO_ROUTE(404, "no route matches", "check host name and path"),
   /** The body is larger than operators allow. */
@@ -22,6 +24,11 @@
       "find out whether the request was executed"),
   /** This host has no configuration yet, or is shutting down. */
   NOT_READY(503, "this host is not ready", "resolve the host addresses again"),
+  /** The API key is unknown to this host, whose configuration may be stale. */
+  KEY_UNCHECKED(
+      503,
+      "the API key can't be checked now",
+      "retry after the time in Retry-After or at another host"),
   /** No upstream can run the request in time. */
   NO_ROOM(503, "no upstream has a free slot in time", "retry after the time in Retry-After"),
   /** Every upstream tried reported that it did not execute the request. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -1,6 +1,8 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.matching.RouteMatcher;
+import dev.cactusstack.decisions.workspaces.ConfigurationStaleness;
+import dev.cactusstack.decisions.workspaces.WorkspaceKeys;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.ConfigurationChange;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
@@ -51,6 +53,10 @@
   private static final long READ_RETRY_MS = 250;
   private static final long MAX_READ_RETRY_MS = 1_500;
   private static final long UNKNOWN_REVISION = 0;
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** Keeps a log line short when many workspaces share keys. */
+  private static final int MAX_LOGGED_WORKSPACES = 10;
 
   private final EventLoop loop;
   private final LongSupplier clock;
@@ -63,6 +69,10 @@
   private Consumer<ConfigurationSnapshot> snapshotListener = k -> {};
   private @Nullable SiteConfiguration activeConfiguration;
   private RouteMatcher routeMatcher = new RouteMatcher(List.of());
+  private WorkspaceKeys workspaceKeys = WorkspaceKeys.NONE;
+  private long lastReadAtMs = NEVER;
+  private long announcedRevision;
+  private long announcedAtMs = NEVER;
   private boolean fullyRead;
   private boolean followingPaused;
   private boolean rereadPending;
@@ -128,6 +138,39 @@
     return routeMatcher;
   }
 
+  /**
+   * Returns the API keys in force.
+   *
+   * @return the keys of all workspaces, none before a configuration is known
+   */
+  public WorkspaceKeys workspaceKeys() {
+    return workspaceKeys;
+  }
+
+  /**
+   * Returns the age of what this host has read of the configuration.
+   *
+   * @return milliseconds since the last successful call was made; more than any real age before
+   *     there was one
+   */
+  public long readAgeMs() {
+    return clock.getAsLong() - lastReadAtMs;
+  }
+
+  /**
+   * Checks whether there may be a change that this host does not have yet: another host has lately
+   * announced one, or the store has changed at a revision that is not explained. An announcement is
+   * forgotten after a while, because the host that made it may have been wrong.
+   *
+   * @return true until the change is in force here
+   */
+  public boolean mayBeBehind() {
+    boolean announced =
+        isBehind(announcedRevision)
+            && clock.getAsLong() - announcedAtMs <= ConfigurationStaleness.MAX_UNCONFIRMED_MS;
+    return announced || hasUnexplainedRevisions();
+  }
+
   /**
    * Returns the limits on what callers may send.
    *
@@ -218,6 +261,10 @@
    * @param query queries that host for its configuration, given this host's revision
    */
   public void onRevisionAnnounced(long revision, LongConsumer query) {
+    if (isBehind(revision)) {
+      announcedRevision = revision;
+      announcedAtMs = clock.getAsLong();
+    }
     if (!rereadPending && isBehind(revision)) {
       rereadPending = true;
       query.accept(activeConfiguration == null ? 0 : activeConfiguration.revision());
@@ -282,12 +329,14 @@
   }
 
   private void reread() {
+    long requestedAtMs = clock.getAsLong();
     store
         .readConfiguration()
         .whenComplete(
             (change, failure) -> {
               rereadPending = false;
               if (failure == null) {
+                lastReadAtMs = Math.max(lastReadAtMs, requestedAtMs);
                 apply(change);
               }
             });
@@ -298,6 +347,7 @@
       followingPaused = true;
       return;
     }
+    long requestedAtMs = clock.getAsLong();
     CompletableFuture<ConfigurationChange> call =
         fullyRead
             ? store.watchConfiguration(watchRevision, WATCH_TIMEOUT_MS)
@@ -305,6 +355,7 @@
     call.whenComplete(
         (change, failure) -> {
           if (failure == null) {
+            lastReadAtMs = Math.max(lastReadAtMs, requestedAtMs);
             onStoreRecovered();
             onStoreChange(change);
           } else {
@@ -394,6 +445,8 @@
     boolean rulesChanged = previous == null || previous.version() != next.version();
     if (rulesChanged) {
       routeMatcher = new RouteMatcher(next.routes());
+      workspaceKeys = new WorkspaceKeys(next.workspaces().values());
+      logSharedKeys(next.version());
     }
     boolean changed =
         previous == null
@@ -406,6 +459,7 @@
           .with("revision", next.revision())
           .with("evacuated", evacuated.toString())
           .with("rollouts", rollouts.keySet().toString())
+          .with("workspaces", next.workspaces().size())
           .write();
       changeListener.run();
     }
@@ -418,6 +472,21 @@
     }
   }
 
+  private void logSharedKeys(long version) {
+    if (workspaceKeys.sharedKeyCount() > 0) {
+      log.event("api_keys_shared")
+          .with("version", version)
+          .with("keys", workspaceKeys.sharedKeyCount())
+          .with(
+              "workspaces",
+              workspaceKeys.sharingWorkspaces().stream()
+                  .limit(MAX_LOGGED_WORKSPACES)
+                  .toList()
+                  .toString())
+          .write();
+    }
+  }
+
   private static Map<String, RolloutOrder> mergeRollouts(
       @Nullable SiteConfiguration previous, ConfigurationChange change) {
     Map<String, RolloutOrder> rollouts = new HashMap<>();
--- a/gateway/src/main/java/dev/cactusstack/gateway/observe/GatewayMetrics.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/observe/GatewayMetrics.java
@@ -17,6 +17,7 @@
 
   private final Map<String, RouteMetrics> routes = new LinkedHashMap<>();
   private final Map<String, Counter> counters = new LinkedHashMap<>();
+  private final WorkspaceMetrics workspaces = new WorkspaceMetrics();
 
   /**
    * Returns the metrics of a route.
@@ -33,6 +34,15 @@
     return routes.computeIfAbsent(metricName, n -> new RouteMetrics());
   }
 
+  /**
+   * Returns the metrics of the workspaces.
+   *
+   * @return counters that stay empty on a site without workspaces
+   */
+  public WorkspaceMetrics workspaces() {
+    return workspaces;
+  }
+
   /**
    * Registers a counter whose value is read when metrics are requested.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/observe/PrometheusFormat.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/observe/PrometheusFormat.java
@@ -67,6 +67,8 @@
             "Retries and hedges by whether the retry budget allowed them",
             "budget",
             RouteMetrics::retriesByDecision));
+    metrics.add(workspaceRequests(gatewayMetrics.workspaces()));
+    metrics.add(workspaceOutcomes(gatewayMetrics.workspaces()));
     gatewayMetrics
         .counters()
         .forEach(
@@ -140,6 +142,37 @@
     return metric.build();
   }
 
+  private static MetricSnapshot workspaceRequests(WorkspaceMetrics workspaces) {
+    var metric =
+        CounterSnapshot.builder()
+            .name("cactusstack_workspace_requests")
+            .help("Requests by workspace");
+    workspaces
+        .byLabel()
+        .forEach(
+            (name, counts) ->
+                metric.dataPoint(point(Labels.of("workspace", name), counts.requests())));
+    return metric.build();
+  }
+
+  private static MetricSnapshot workspaceOutcomes(WorkspaceMetrics workspaces) {
+    var metric =
+        CounterSnapshot.builder()
+            .name("cactusstack_workspace_outcomes")
+            .help("Ended requests by workspace and outcome");
+    workspaces
+        .byLabel()
+        .forEach(
+            (name, counts) ->
+                counts
+                    .outcomes()
+                    .forEach(
+                        (outcome, count) ->
+                            metric.dataPoint(
+                                point(Labels.of("workspace", name, "outcome", outcome), count))));
+    return metric.build();
+  }
+
   private static CounterSnapshot.CounterDataPointSnapshot point(Labels labels, long value) {
     return CounterSnapshot.CounterDataPointSnapshot.builder().labels(labels).value(value).build();
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/UpstreamHeaders.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.site;
 
 import dev.cactusstack.decisions.placing.ReportedLoad;
+import dev.cactusstack.model.site.ApiKeyDigest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
@@ -50,6 +51,23 @@
    */
   void addUpstreamHeaders(HttpHeaders headers, long deadlineMs, String upstreamId);
 
+  /**
+   * Returns the API key of a request.
+   *
+   * @param headers the request's header fields
+   * @return the key's digest; empty if there is no key, more than one, or a malformed one
+   */
+  Optional<ApiKeyDigest> apiKey(HttpHeaders headers);
+
+  /**
+   * Removes the API key and every workspace name that the caller has set from a request, and sets
+   * the name of its workspace.
+   *
+   * @param headers the header fields of a request to an upstream
+   * @param workspace the name of the workspace; empty if the request has none
+   */
+  void replaceCredentials(HttpHeaders headers, String workspace);
+
   /**
    * Returns whether an upstream reports that it did not run the request.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -10,6 +10,7 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.workspaces.WorkspaceKeys;
 import dev.cactusstack.gateway.control.UpstreamsController;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
@@ -29,6 +30,7 @@
 import dev.cactusstack.model.site.RequestKind;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import dev.cactusstack.model.site.Workspace;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -38,8 +40,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -62,6 +66,8 @@
           1,
           List.of(new RouteRule.WeightedService("s", 1)));
 
+  private WorkspaceKeys keys = WorkspaceKeys.NONE;
+  private boolean configurationMayBeStale;
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
@@ -106,6 +112,7 @@
           () -> 0L,
           log,
           headers,
+          new CallerAuthentication(() -> keys, () -> configurationMayBeStale, headers),
           client,
           placement,
           noticeReader,
@@ -120,7 +127,9 @@
             type.getClassLoader(),
             new Class<?>[] {type},
             (proxy, method, args) ->
-                method.getReturnType() == OptionalLong.class ? OptionalLong.empty() : null));
+                method.getReturnType() == OptionalLong.class
+                    ? OptionalLong.empty()
+                    : method.getReturnType() == Optional.class ? Optional.empty() : null));
   }
 
   private void register(String name, Address address, int milliCores) {
@@ -141,7 +150,7 @@
     register("self", new Address("127.0.0.1", 8), 600);
     register("scheduler", SCHEDULER, 6_000);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
-    new ForwardedRequest(context, request, "id", ROUTE, responses::add).start();
+    new ForwardedRequest(context, request, "id", ROUTE, Optional.empty(), responses::add).start();
     decide(
         new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, limit));
     log.flush();
@@ -242,4 +251,45 @@
             0);
     assertThat(forwardWithPlacement()).contains("event=sent");
   }
+
+  private void revokeKeyBeforePlacement() {
+    channel.freezeTime();
+    register("self", new Address("127.0.0.1", 8), 600);
+    register("scheduler", SCHEDULER, 6_000);
+    var acme = new Workspace("acme", Set.of(), OptionalInt.empty(), 0, 0);
+    var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
+    new ForwardedRequest(context, request, "id", ROUTE, Optional.of(acme), responses::add).start();
+    keys = new WorkspaceKeys(List.of(acme));
+    decide(
+        new PlacementDecision.Placed(
+            new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, Optional.empty()));
+    log.flush();
+  }
+
+  /** Guards against a key that was checked only when the request arrived. */
+  @Test
+  void shouldAnswer401WhenTheKeyWasRevokedWhileTheRequestWaited() {
+    revokeKeyBeforePlacement();
+    assertThat(responses)
+        .singleElement()
+        .satisfies(
+            response -> {
+              assertThat(response.status()).isEqualTo(401);
+              assertThat(response.headers().get("WWW-Authenticate")).isEqualTo("Bearer");
+              assertThat(response.headers().contains("Retry-After")).isFalse();
+            });
+    assertThat(output.toString(StandardCharsets.UTF_8))
+        .contains("event=refused", "workspace=acme", "why=unauthorized")
+        .doesNotContain("event=sent");
+  }
+
+  /** The newer configuration that lacks the key is known, so there is nothing to wait for. */
+  @Test
+  void shouldAnswer401WhenTheKeyWasRevokedAndTheConfigurationMayBeStaleSince() {
+    configurationMayBeStale = true;
+    revokeKeyBeforePlacement();
+    assertThat(responses)
+        .singleElement()
+        .satisfies(response -> assertThat(response.status()).isEqualTo(401));
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -6,14 +6,19 @@
 import dev.cactusstack.gateway.site.ConfigurationChange;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.gateway.site.StoreException;
+import dev.cactusstack.model.site.ApiKeyDigest;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.SiteConfiguration;
+import dev.cactusstack.model.site.Workspace;
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -304,4 +309,77 @@
     time.run(0);
     assertThat(store.configurationReads.size()).isBetween(7, 8);
   }
+
+  private static ConfigurationChange changeOfKeys(long revision, long version, Workspace... all) {
+    Map<String, Workspace> workspaces =
+        Arrays.stream(all).collect(Collectors.toMap(Workspace::name, workspace -> workspace));
+    var rules =
+        new ConfigurationChange.RoutingRules(
+            version, List.of(), Map.of(), CallerLimits.DEFAULT, workspaces);
+    return new ConfigurationChange(revision, revision, true, Optional.of(rules), Map.of());
+  }
+
+  private static Workspace workspace(String name, String key) {
+    return new Workspace(name, Set.of(ApiKeyDigest.of(key)), OptionalInt.empty(), 0, 0);
+  }
+
+  @Test
+  void shouldForgetAKeyWhenANewVersionNoLongerHasIt() {
+    store
+        .configurationReads
+        .get(0)
+        .complete(changeOfKeys(10, 1, workspace("a", "k1"), workspace("b", "k2")));
+    assertThat(controller.workspaceKeys().find(ApiKeyDigest.of("k1"))).isPresent();
+    store.configurationWatches.get(0).complete(changeOfKeys(11, 2, workspace("b", "k2")));
+    assertThat(controller.workspaceKeys().find(ApiKeyDigest.of("k1"))).isEmpty();
+    assertThat(controller.workspaceKeys().find(ApiKeyDigest.of("k2"))).isPresent();
+  }
+
+  /** Guards against keys that are lost because a new version of the configuration is unusable. */
+  @Test
+  void shouldKeepTheKeysWhenAChangeHasNoValidRules() {
+    store.configurationReads.get(0).complete(changeOfKeys(10, 1, workspace("a", "k1")));
+    store
+        .configurationWatches
+        .get(0)
+        .complete(new ConfigurationChange(11, 11, false, Optional.empty(), Map.of()));
+    assertThat(controller.workspaceKeys().find(ApiKeyDigest.of("k1"))).isPresent();
+  }
+
+  @Test
+  void shouldKnowTheAgeOfItsLastReadFromWhenItWasRequested() {
+    assertThat(controller.readAgeMs()).isGreaterThan(Integer.MAX_VALUE);
+    time.run(500);
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    assertThat(controller.readAgeMs()).isEqualTo(500);
+    controller.readUnwatched();
+    time.run(300);
+    store
+        .configurationReads
+        .get(1)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
+    assertThat(controller.readAgeMs()).isEqualTo(800);
+  }
+
+  /** Guards against a 401 for a new key while the configuration that has it is still on its way. */
+  @Test
+  void shouldKnowThatItMayBeBehindUntilItHasTheAnnouncedChange() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    assertThat(controller.mayBeBehind()).isFalse();
+    controller.onRevisionAnnounced(15, queriedRevisions::add);
+    assertThat(controller.mayBeBehind()).isTrue();
+    store.configurationWatches.get(0).complete(change(15, false, 2, Map.of()));
+    assertThat(controller.mayBeBehind()).isFalse();
+  }
+
+  /** Guards against a host that answers 503 for ever, because another announced what never came. */
+  @Test
+  void shouldForgetAnAnnouncementWhenItIsNotRepeated() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    controller.onRevisionAnnounced(15, queriedRevisions::add);
+    time.run(1_200);
+    assertThat(controller.mayBeBehind()).isTrue();
+    time.run(200);
+    assertThat(controller.mayBeBehind()).isFalse();
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/observe/PrometheusFormatTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/observe/PrometheusFormatTest.java
@@ -41,4 +41,42 @@
     assertThat(metrics.routes()).hasSize(GatewayMetrics.MAX_ROUTES + 1);
     assertThat(text()).contains("cactusstack_request_seconds_count{route=\"other\"} 50");
   }
+
+  @Test
+  void shouldCountRequestsByWorkspaceAndOutcome() {
+    WorkspaceMetrics workspaces = metrics.workspaces();
+    workspaces.recordRequest("acme");
+    workspaces.recordRequest("acme");
+    workspaces.recordOutcome("acme", WorkspaceMetrics.ANSWERED);
+    workspaces.recordOutcome("acme", "no-room");
+    workspaces.recordRequest(WorkspaceMetrics.NO_WORKSPACE);
+    workspaces.recordOutcome(WorkspaceMetrics.NO_WORKSPACE, "unauthorized");
+    assertThat(text())
+        .contains("cactusstack_workspace_requests_total{workspace=\"acme\"} 2.0")
+        .contains(
+            "cactusstack_workspace_outcomes_total{outcome=\"answered\",workspace=\"acme\"} 1.0")
+        .contains(
+            "cactusstack_workspace_outcomes_total{outcome=\"no-room\",workspace=\"acme\"} 1.0")
+        .contains(
+            "cactusstack_workspace_outcomes_total{outcome=\"unauthorized\",workspace=\"\"} 1.0");
+  }
+
+  /**
+   * Guards against a metric that grows with the number of workspaces, of which there may be 10,000.
+   */
+  @Test
+  void shouldCountFurtherWorkspacesTogetherWhenThereAreTooMany() {
+    WorkspaceMetrics workspaces = metrics.workspaces();
+    workspaces.recordRequest(WorkspaceMetrics.NO_WORKSPACE);
+    for (int i = 0; i < WorkspaceMetrics.MAX_WORKSPACES + 50; i++) {
+      workspaces.recordRequest("w" + i);
+      workspaces.recordOutcome("w" + i, WorkspaceMetrics.ANSWERED);
+    }
+    assertThat(workspaces.byLabel()).hasSize(WorkspaceMetrics.MAX_WORKSPACES + 2);
+    assertThat(text())
+        .contains("cactusstack_workspace_requests_total{workspace=\"w99\"} 1.0")
+        .contains("cactusstack_workspace_requests_total{workspace=\"other\"} 50.0")
+        .contains(
+            "cactusstack_workspace_outcomes_total{outcome=\"answered\",workspace=\"other\"} 50.0");
+  }
 }
