explain: tell a 401, a 429 and a lack of room apart

These refusals call for different actions and are easily mistaken for each other. A line after the events states the cause. Two tests of the complete output expect the new line; what they checked before they still check.

--- a/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/dev/cactusstack/ctl/ExplainCommand.java
@@ -101,10 +101,19 @@
       }
     }
     Map<String, LogLine> knownStates = lastKnownStates(relevant, upstreams, first);
-    return Stream.concat(relevant.stream(), knownStates.values().stream())
-        .sorted(Comparator.comparing(LogLine::time).thenComparing(LogLine::sequence))
-        .map(l -> (relevant.contains(l) ? "" : "believed ") + "host=" + l.host() + " " + l.text())
-        .toList();
+    Stream<String> lines =
+        Stream.concat(relevant.stream(), knownStates.values().stream())
+            .sorted(Comparator.comparing(LogLine::time).thenComparing(LogLine::sequence))
+            .map(
+                l ->
+                    (relevant.contains(l) ? "" : "believed ")
+                        + "host="
+                        + l.host()
+                        + " "
+                        + l.text());
+    Stream<String> causes =
+        requestEvents.stream().flatMap(event -> RefusalCause.of(event).stream());
+    return Stream.concat(lines, causes).toList();
   }
 
   /**
--- a/ctl/src/test/java/dev/cactusstack/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/dev/cactusstack/ctl/ExplainCommandTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ExplainCommandTest {
   private static final String ENTRY =
@@ -66,19 +68,21 @@
         time=2026-04-01T10:00:05.001Z event=upstream_declined id=r1 route=a upstream=u1 why=limited
         time=2026-04-01T10:00:06.000Z event=refused id=r1 route=a why=no-room attempts=0
         """;
-    assertThat(explain("r1", text).output())
-        .hasSize(3)
-        .first()
-        .asString()
+    List<String> output = explain("r1", text).output();
+    assertThat(output).hasSize(4);
+    assertThat(output.get(0))
         .startsWith("believed host=entry-1")
         .contains("event=upstream_notice upstream=u1 says=limit per_second=1.5");
+    assertThat(output.get(3)).startsWith("cause host=entry-1 status=503");
   }
 
   @Test
   void shouldReadTheHostFromTheWordBeforeTheTimeWhenLogsWereCollected() throws IOException {
     String line = "time=2026-04-01T10:00:05.002Z event=refused id=r1 route=a why=no-room";
     assertThat(explain("r1", "  5.1 entry-7 " + line).output())
-        .containsExactly("host=entry-7 " + line);
+        .containsExactly(
+            "host=entry-7 " + line,
+            "cause host=entry-7 status=503 text=\"no upstream had a free slot in time\"");
   }
 
   @Test
@@ -87,4 +91,29 @@
     assertThat(end.exitCode()).isEqualTo(ExitCode.INVALID);
     assertThat(end.errors().get(0)).contains("r9").contains("logs of all hosts");
   }
+
+  /** Guards against reasons that look alike: each tells operators to do something else. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          why=unauthorized target=/a | status=401 text="the API key was missing, malformed, unknown
+          workspace=acme why=unauthorized attempts=0 | status=401 text="the API key of workspace acme was revoked
+          why=key-unchecked target=/a | status=503 text="the API key was unknown to a host that was out of touch
+          workspace=acme why=over-quota rate=2.5 burst=10 retry_ms=310 | status=429 text="workspace acme was over its quota of 2.5 requests a second and a burst of 10
+          workspace=acme why=no-room attempts=0 retry_ms=258 | status=503 text="no upstream had a free slot in time, although workspace acme was within its quota; the caller was told to wait 258 ms
+          """)
+  void shouldTellTheReasonsOfRefusalsApart(String fields, String expected) throws IOException {
+    String line = "time=2026-04-01T10:00:05.002Z event=refused id=r1 route=a " + fields;
+    List<String> output = explain("r1", "entry-7 " + line).output();
+    assertThat(output).hasSize(2);
+    assertThat(output.get(1)).startsWith("cause host=entry-7 " + expected);
+  }
+
+  @Test
+  void shouldTellNoCauseWhenTheRequestMayHaveRun() throws IOException {
+    String line = "time=2026-04-01T10:00:05.002Z event=refused id=r1 route=a why=late attempts=1";
+    assertThat(explain("r1", "entry-7 " + line).output()).containsExactly("host=entry-7 " + line);
+  }
 }
