Quotas: shares, buckets and permits of workspaces as pure decisions

Cause: a workspace's quota holds over all hosts together, also while hosts disagree on which of them are alive.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -24,6 +24,9 @@
  * number of messages per host and round is constant. Confined to one thread.
  */
 public final class PeerTable {
+  /** Time between two heartbeats of a host, in milliseconds. */
+  public static final long HEARTBEAT_INTERVAL_MS = 400;
+
   /** Number of hosts whose calls fail that shows an outage rather than a fault of their own. */
   private static final int MIN_FAILING_HOSTS = 3;
 
@@ -312,6 +315,22 @@
             .count();
   }
 
+  /**
+   * Returns for how long the host has been running that started before all others. A host's
+   * heartbeats are counted from its start, so this takes no common clock.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return the time in milliseconds, without that since the last heartbeat, of this host or one
+   *     that is alive
+   */
+  public long longestRunningMs(long nowMs) {
+    return HEARTBEAT_INTERVAL_MS
+        * peers.values().stream()
+            .filter(p -> p.heartbeat.hostHash() != selfHash && isAlive(p, nowMs))
+            .mapToLong(p -> p.heartbeat.counter())
+            .reduce(ownState.counter(), Math::max);
+  }
+
   /**
    * Returns the hosts that can schedule: those that may reach the store. During an outage of the
    * store these are the hosts that have read the upstreams since their start, because the others
--- /dev/null
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -0,0 +1,235 @@
+package dev.cactusstack.decisions.quotas;
+
+import dev.cactusstack.decisions.limits.TokenBucket;
+import dev.cactusstack.decisions.placing.PlacementKey;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Grants the permits of one workspace, as many as this host's share of the quota allows.
+ *
+ * <p>Invariants: a key gets one answer and takes at most one permit, however often it is received.
+ * A permit is returned at most once, and only within {@value #MAX_RETURN_MS} ms, so that permits
+ * can't be saved up. Over any period, the permits granted and not returned are at most the largest
+ * burst plus the rate times the period, which is longer by {@value #MAX_RETURN_MS} ms if permits
+ * are returned. At most {@value #MAX_KEYS} keys are remembered, each for {@value #MEMORY_MS} ms.
+ * Confined to one thread.
+ */
+public final class QuotaBucket {
+  /** Longest time after which a permit can be returned. */
+  static final long MAX_RETURN_MS = 500;
+
+  /** Longer than a request for a permit is repeated or a datagram is delayed. */
+  static final long MEMORY_MS = 1_000;
+
+  static final int MAX_KEYS = 2_000;
+
+  /** Longest promise; later ones begin again with the next permit. */
+  static final long MAX_RETRY_AFTER_MS = 60_000;
+
+  private static final double PERMIT = 1;
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final TokenBucket bucket;
+  private final Map<PlacementKey, Answer> answers = new LinkedHashMap<>();
+  private double quotaBurst;
+  private double share;
+  private double permitsPerSecond;
+  private double lastPromisedAtMs = Double.NEGATIVE_INFINITY;
+
+  private QuotaBucket(long nowMs) {
+    this.bucket = TokenBucket.empty(nowMs);
+  }
+
+  /**
+   * Creates a bucket of a host that has just become the first: earlier use is unknown, so there is
+   * one permit, or none with a share below a half, as many hosts may have such shares at once.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param share this host's share, from 0 to 1
+   * @param sinceMs the time at which this host became the first, on a monotonic clock, in
+   *     milliseconds
+   * @return the bucket
+   */
+  public static QuotaBucket takenOver(
+      double requestsPerSecond, double burst, double share, long sinceMs) {
+    var taken = new QuotaBucket(sinceMs);
+    taken.setRate(requestsPerSecond, burst, share, sinceMs);
+    taken.bucket.putBack(share >= 0.5 ? PERMIT : 0, sinceMs);
+    return taken;
+  }
+
+  /**
+   * Creates a full bucket, of a host that knows all earlier use.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param share this host's share, from 0 to 1
+   * @param nowMs the current time on a monotonic clock, in milliseconds
+   * @return the bucket
+   */
+  public static QuotaBucket full(double requestsPerSecond, double burst, double share, long nowMs) {
+    var full = new QuotaBucket(nowMs);
+    full.setRate(requestsPerSecond, burst, share, nowMs);
+    full.bucket.putBack(capacity(burst, share), nowMs);
+    return full;
+  }
+
+  /**
+   * Sets the quota and this host's share of it. A lower burst or share cuts the level; a higher
+   * burst raises it by the difference; a higher rate or share raises it only with time.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param newShare this host's share, from 0 to 1
+   * @param nowMs the current time on the same clock, in milliseconds
+   */
+  public void update(double requestsPerSecond, double burst, double newShare, long nowMs) {
+    double added = capacity(burst, newShare) - capacity(quotaBurst, newShare);
+    if (requestsPerSecond * newShare != permitsPerSecond) {
+      lastPromisedAtMs = Double.NEGATIVE_INFINITY;
+    }
+    setRate(requestsPerSecond, burst, newShare, nowMs);
+    bucket.putBack(Math.max(0, added), nowMs);
+  }
+
+  private void setRate(double requestsPerSecond, double burst, double newShare, long nowMs) {
+    quotaBurst = burst;
+    share = newShare;
+    permitsPerSecond = requestsPerSecond * newShare;
+    bucket.setRate(permitsPerSecond, capacity(burst, newShare), nowMs);
+  }
+
+  /** A bucket that can't hold a whole permit would never grant one. */
+  private static double capacity(double burst, double share) {
+    return share > 0 ? Math.max(PERMIT, burst * share) : 0;
+  }
+
+  /**
+   * Decides on a request.
+   *
+   * @param key the key of the request
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return the decision; that of the first call if the key was lately received before
+   */
+  public QuotaDecision request(PlacementKey key, long nowMs) {
+    forgetOld(nowMs);
+    Answer known = answers.get(key);
+    if (known != null) {
+      return known.decision.isGranted()
+          ? known.decision
+          : QuotaDecision.refused(
+              Math.max(0, known.decision.retryAfterMs() - (nowMs - known.atMs)));
+    }
+    QuotaDecision decision =
+        bucket.tryAcquire(PERMIT, nowMs)
+            ? QuotaDecision.GRANTED
+            : QuotaDecision.refused(promiseNextPermit(nowMs));
+    answers.put(key, new Answer(decision, nowMs, !decision.isGranted()));
+    return decision;
+  }
+
+  /** Returns the time until the next permit that is not promised to another caller. */
+  private long promiseNextPermit(long nowMs) {
+    if (permitsPerSecond == 0) {
+      return MAX_RETRY_AFTER_MS;
+    }
+    double intervalMs = MS_PER_SECOND / permitsPerSecond;
+    double nextPermitAtMs = nowMs + (PERMIT - bucket.available(nowMs)) * intervalMs;
+    double promisedAtMs = Math.max(nextPermitAtMs, lastPromisedAtMs + intervalMs);
+    if (promisedAtMs > nowMs + MAX_RETRY_AFTER_MS) {
+      promisedAtMs = nextPermitAtMs;
+    }
+    lastPromisedAtMs = promisedAtMs;
+    return (long) Math.min(MAX_RETRY_AFTER_MS, Math.ceil(promisedAtMs - nowMs));
+  }
+
+  /**
+   * Returns the permit of a request that did not run. A request that is returned before it arrives,
+   * because datagrams overtake each other, gets no permit.
+   *
+   * @param key the key of the request
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return true if the permit can be granted again
+   */
+  public boolean giveBack(PlacementKey key, long nowMs) {
+    forgetOld(nowMs);
+    Answer known = answers.get(key);
+    if (known == null) {
+      answers.put(key, new Answer(QuotaDecision.refused(0), nowMs, true));
+      return false;
+    }
+    if (known.settled) {
+      return false;
+    }
+    answers.replace(key, new Answer(known.decision, known.atMs, true));
+    if (nowMs - known.atMs > MAX_RETURN_MS) {
+      return false;
+    }
+    bucket.putBack(PERMIT, nowMs);
+    return true;
+  }
+
+  /**
+   * Forgets the keys that can't be received again.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   */
+  public void forgetOld(long nowMs) {
+    Iterator<Answer> oldestFirst = answers.values().iterator();
+    while (oldestFirst.hasNext()) {
+      boolean old = nowMs - oldestFirst.next().atMs > MEMORY_MS;
+      if (!old && answers.size() < MAX_KEYS) {
+        return;
+      }
+      oldestFirst.remove();
+    }
+  }
+
+  /**
+   * Checks whether a key was lately received.
+   *
+   * @param key the key of a request
+   * @return true if its answer is remembered
+   */
+  public boolean remembers(PlacementKey key) {
+    return answers.containsKey(key);
+  }
+
+  /**
+   * Returns how many keys are remembered.
+   *
+   * @return the number, at most {@value #MAX_KEYS}
+   */
+  public int rememberedKeys() {
+    return answers.size();
+  }
+
+  /**
+   * Returns this host's share.
+   *
+   * @return the share, from 0 to 1
+   */
+  public double share() {
+    return share;
+  }
+
+  /**
+   * Returns how many permits can be granted at once.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return the number of permits, with fractions
+   */
+  public double available(long nowMs) {
+    return bucket.available(nowMs);
+  }
+
+  /**
+   * An answer that was given.
+   *
+   * @param settled whether nothing can be returned any more
+   */
+  private record Answer(QuotaDecision decision, long atMs, boolean settled) {}
+}
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -335,4 +335,17 @@
     table.markLeaving();
     assertThat(table.countUsableWithin(60_000, 200)).isEqualTo(1);
   }
+
+  /** Guards against a restarted host that takes itself for one of a fleet that has just started. */
+  @Test
+  void shouldKnowForHowLongAnyHostHasBeenRunning() {
+    var cluster = new Cluster(18, 5);
+    cluster.run(4_000);
+    assertThat(cluster.tables.get("host-3").longestRunningMs(cluster.nowMs)).isEqualTo(4_000);
+    cluster.run(20_000);
+    cluster.restart("host-3");
+    assertThat(cluster.tables.get("host-3").longestRunningMs(cluster.nowMs)).isZero();
+    cluster.run(2_000);
+    assertThat(cluster.tables.get("host-3").longestRunningMs(cluster.nowMs)).isGreaterThan(20_000);
+  }
 }
