Quotas: ask the owner for a permit before the first placement request

Change: QuotaOwners grants permits as the owner, QuotaClient asks for them (35 ms, 50 ms, the next host, own share), and ForwardedRequest takes one permit a request, answers 429 without one and returns it if nothing ran. Result: LimitSharesTest, LinkCodecTest and SenderCheckTest pass.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -23,6 +23,8 @@
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
+import dev.cactusstack.gateway.scheduling.QuotaOwners;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
@@ -74,6 +76,8 @@
   private final PeerTable peers;
   private final Link link;
   private final PlacementClient placement;
+  private final QuotaOwners quotaOwners;
+  private final QuotaClient quotas;
   private final HttpClient client;
   private final CallerListener callers;
   private final CallerListener readiness;
@@ -191,6 +195,12 @@
             noticeReader.notices(),
             settings.host(),
             random.nextLong(MAX_INITIAL_SEQUENCE_NUMBER));
+    int selfHash = PeerTable.hash(settings.host());
+    this.quotaOwners =
+        new QuotaOwners(
+            clock, log, peers, selfHash, hosts::knowsHosts, configuration::activeConfiguration);
+    this.quotas =
+        new QuotaClient(loop, clock, log, link, peers, selfHash, quotaOwners, placement::nextKey);
     var retryBudget =
         new ForwardingContext.RetryBudget(
             siteBounds.retryWindowMs(),
@@ -205,6 +215,7 @@
             upstreamHeaders,
             client,
             placement,
+            quotas,
             noticeReader,
             retryBudget,
             gatewayMetrics);
@@ -243,6 +254,22 @@
         "cactusstack_upstream_limits",
         "Times that this host learned that an upstream limits the requests of all hosts",
         notices::limitCount);
+    registry.registerCounter(
+        "cactusstack_quota_permits_granted",
+        "Permits that this host granted to itself and other hosts",
+        quotaOwners::grantedCount);
+    registry.registerCounter(
+        "cactusstack_quota_permits_refused",
+        "Requests for a permit that this host refused",
+        quotaOwners::refusedCount);
+    registry.registerCounter(
+        "cactusstack_quota_permits_returned",
+        "Permits returned in time because their requests did not run",
+        quotaOwners::returnedCount);
+    registry.registerCounter(
+        "cactusstack_quota_own_share_decisions",
+        "Requests decided by this host's own share because no owner answered",
+        quotas::ownShareDecisionCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
     registry.registerCounter(
@@ -288,13 +315,18 @@
               failOnError(f.cause(), opened, settings.linkAddress());
               opened.complete(null);
             });
-    configuration.start(upstreams::onConfigurationChanged, hosts::announceConfiguration);
+    configuration.start(this::onConfigurationChanged, hosts::announceConfiguration);
     hosts.start();
     loop.scheduleAtFixedRate(
         this::sweep, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     return opened;
   }
 
+  private void onConfigurationChanged() {
+    upstreams.onConfigurationChanged();
+    quotaOwners.onConfigurationChanged();
+  }
+
   private static void failOnError(
       @org.jspecify.annotations.Nullable Throwable cause,
       CompletableFuture<Void> opened,
@@ -314,7 +346,7 @@
       configuration.onSnapshot(update.snapshot());
     } else if (message instanceof LinkMessage.ConfigurationQuery query) {
       hosts.onConfigurationQuery(query, from);
-    } else {
+    } else if (!quotas.onMessage(message, from)) {
       placement.onMessage(message, from);
     }
   }
@@ -331,6 +363,7 @@
   }
 
   private void sweep() {
+    quotaOwners.tick();
     client.closeIdleConnections();
     callers.closeTimedOutConnections();
     readiness.closeTimedOutConnections();
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -8,14 +8,17 @@
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
+import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.decisions.retries.HedgeDelay;
 import dev.cactusstack.gateway.net.Exchange;
 import dev.cactusstack.gateway.net.ExchangeResult;
 import dev.cactusstack.gateway.net.OutgoingRequest;
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.RouteMetrics;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import dev.cactusstack.model.site.Workspace;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -46,6 +49,7 @@
   private final CallerRequest request;
   private final String id;
   private final RouteRule route;
+  private final Optional<Workspace> workspace;
   private final Consumer<CallerResponse> responseConsumer;
   private final String service;
   private final long deadlineAtMs;
@@ -53,6 +57,7 @@
   private final Set<String> triedUpstreams = new HashSet<>();
   private final Set<String> declinedUpstreams = new HashSet<>();
   private final List<Attempt> activeAttempts = new ArrayList<>();
+  private QuotaClient.@Nullable Permit permit;
   private @Nullable PlacementKey pendingPlacement;
   private @Nullable Future<?> deadlineTimer;
   private @Nullable Future<?> hedgeTimer;
@@ -68,11 +73,13 @@
       CallerRequest request,
       String id,
       RouteRule route,
+      Optional<Workspace> workspace,
       Consumer<CallerResponse> responseConsumer) {
     this.context = context;
     this.request = request;
     this.id = id;
     this.route = route;
+    this.workspace = workspace;
     this.responseConsumer = responseConsumer;
     this.service = context.weightedRoundRobin().next(route);
     long callerTimeoutMs = context.wire().deadlineMs(request.headers()).orElse(route.timeoutMs());
@@ -84,14 +91,55 @@
   }
 
   void start() {
-    context.retryWindows(service).recordRequest(now());
     deadlineTimer =
         context
             .loop()
             .schedule(this::deadlineReached, Math.max(1, remainingMs()), TimeUnit.MILLISECONDS);
+    workspace.filter(Workspace::hasQuota).ifPresentOrElse(this::requestPermit, this::admit);
+  }
+
+  /** Requests the one permit that this request needs, whatever its retries and hedges. */
+  private void requestPermit(Workspace limited) {
+    permit = context.quotas().permit(limited.name(), decision -> permitDecided(limited, decision));
+    permit.request();
+  }
+
+  private void permitDecided(Workspace limited, QuotaDecision decision) {
+    if (decision.isGranted()) {
+      admit();
+    } else {
+      refuseOverQuota(limited, decision.retryAfterMs());
+    }
+  }
+
+  private void admit() {
+    context.retryWindows(service).recordRequest(now());
     requestSlot(false);
   }
 
+  private void refuseOverQuota(Workspace limited, long retryAfterMs) {
+    finish();
+    figures().recordRefusal(Refusal.OVER_QUOTA.label());
+    event("refused")
+        .with("why", Refusal.OVER_QUOTA.label())
+        .with("workspace", limited.name())
+        .with("rate", Double.toString(limited.requestsPerSecond()))
+        .with("burst", Double.toString(limited.burst()))
+        .with("took_ms", now() - request.arrivedAtMs())
+        .with("retry_ms", retryAfterMs)
+        .write();
+    CallerResponse response = CallerResponse.problem(Refusal.OVER_QUOTA);
+    context.wire().setRequestId(response.headers(), id);
+    responseConsumer.accept(response.retryAfter(retryAfterMs));
+  }
+
+  /** Returns the permit of a request that has ended and never ran on any upstream. */
+  private void returnUnusedPermit() {
+    if (permit != null && done && activeAttempts.isEmpty() && !mayHaveRun) {
+      permit.giveBack();
+    }
+  }
+
   @Override
   public void cancel() {
     if (done) {
@@ -105,6 +153,7 @@
     if (route.kind().idempotent()) {
       abandonAll(AttemptOutcome.ABANDONED);
     }
+    returnUnusedPermit();
   }
 
   private void requestSlot(boolean isHedge) {
@@ -277,6 +326,7 @@
       mayHaveRun = true;
     }
     if (done) {
+      returnUnusedPermit();
       return;
     }
     if (end == AttemptOutcome.ANSWERED && result instanceof ExchangeResult.Response r) {
@@ -348,9 +398,6 @@
     if (done) {
       return;
     }
-    boolean sentAny =
-        activeAttempts.stream().anyMatch(a -> a.exchange != null && a.exchange.mayHaveBeenSent());
-    mayHaveRun |= sentAny;
     abandonAll(AttemptOutcome.TIMED_OUT);
     giveUp(Refusal.LATE, RETRY_AFTER_MS);
   }
@@ -397,12 +444,14 @@
     done = true;
     stopTimers();
     cancelPlacement();
+    returnUnusedPermit();
     // Active attempts continue until they end, because the scheduler needs their reports.
   }
 
   private void abandonAll(AttemptOutcome end) {
     for (Attempt a : List.copyOf(activeAttempts)) {
       if (a.exchange != null) {
+        mayHaveRun |= a.exchange.mayHaveBeenSent();
         a.exchange.abort();
       }
       report(a.key, a.upstream, end, now() - a.startedAtMs, Optional.empty());
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.gateway.observe.GatewayMetrics;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
@@ -28,6 +29,7 @@
  * @param wire reads and writes header fields for upstreams
  * @param client sends requests to upstreams
  * @param placement assigns requests to upstreams
+ * @param quotas requests the permits of workspaces with a quota
  * @param noticeReader reads and remembers what upstreams say about themselves
  * @param weightedRoundRobin divides routes between several services
  * @param retryWindows retry budgets, by service
@@ -47,6 +49,7 @@
     UpstreamHeaders wire,
     HttpClient client,
     PlacementClient placement,
+    QuotaClient quotas,
     NoticeReader noticeReader,
     WeightedRoundRobin weightedRoundRobin,
     Map<String, RetryWindow> retryWindows,
@@ -67,6 +70,7 @@
    * @param wire reads and writes header fields for upstreams
    * @param client sends requests to upstreams
    * @param placement assigns requests to upstreams
+   * @param quotas requests the permits of workspaces with a quota
    * @param noticeReader reads and remembers what upstreams say about themselves
    * @param retryBudget the settings of retry budgets
    * @param figures the host's metrics
@@ -79,6 +83,7 @@
       UpstreamHeaders wire,
       HttpClient client,
       PlacementClient placement,
+      QuotaClient quotas,
       NoticeReader noticeReader,
       RetryBudget retryBudget,
       GatewayMetrics figures) {
@@ -90,6 +95,7 @@
         wire,
         client,
         placement,
+        quotas,
         noticeReader,
         new WeightedRoundRobin(),
         new HashMap<>(),
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
@@ -42,7 +42,9 @@
     if (route.isEmpty()) {
       return refuse(request, id.get(), Refusal.NO_ROUTE, responseConsumer);
     }
-    var forwarded = new ForwardedRequest(context, request, id.get(), route.get(), responseConsumer);
+    var forwarded =
+        new ForwardedRequest(
+            context, request, id.get(), route.get(), Optional.empty(), responseConsumer);
     forwarded.start();
     return Optional.of(forwarded);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/Refusal.java
@@ -13,6 +13,8 @@
   NO_ROUTE(404, "no route matches", "check host name and path"),
   /** The body is larger than operators allow. */
   BODY_TOO_LARGE(413, "the body is too large", "send a smaller body"),
+  /** The workspace is over its quota. */
+  OVER_QUOTA(429, "the workspace is over its quota", "retry after the time in Retry-After"),
   /** The header section is larger than operators allow. */
   HEADERS_TOO_LARGE(431, "the header section is too large", "send fewer header fields"),
   /** No usable response came from an upstream, and the request may have been executed. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -28,7 +28,7 @@
  * gossips about which hosts are alive. Confined to the event loop.
  */
 public final class HostsController {
-  private static final long GOSSIP_INTERVAL_MS = 400;
+  private static final long GOSSIP_INTERVAL_MS = PeerTable.HEARTBEAT_INTERVAL_MS;
   private static final int GOSSIP_FANOUT = 3;
   private static final int LEAVING_FANOUT = 16;
   private static final int MAX_HEARTBEATS = 80;
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -107,6 +107,15 @@
     } else if (message instanceof LinkMessage.LimitsKnown known) {
       out.writeUInt32NoTag(Type.LIMITS_KNOWN.ordinal());
       LimitCodec.write(out, known);
+    } else if (message instanceof LinkMessage.QuotaRequested requested) {
+      out.writeUInt32NoTag(Type.QUOTA_REQUESTED.ordinal());
+      QuotaCodec.write(out, requested);
+    } else if (message instanceof LinkMessage.QuotaDecided decided) {
+      out.writeUInt32NoTag(Type.QUOTA_DECIDED.ordinal());
+      QuotaCodec.write(out, decided);
+    } else if (message instanceof LinkMessage.QuotaReturned returned) {
+      out.writeUInt32NoTag(Type.QUOTA_RETURNED.ordinal());
+      QuotaCodec.write(out, returned);
     }
   }
 
@@ -165,6 +174,24 @@
       LinkMessage read(CodedInputStream in) throws IOException {
         return LimitCodec.read(in);
       }
+    },
+    QUOTA_REQUESTED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return QuotaCodec.readRequested(in);
+      }
+    },
+    QUOTA_DECIDED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return QuotaCodec.readDecided(in);
+      }
+    },
+    QUOTA_RETURNED {
+      @Override
+      LinkMessage read(CodedInputStream in) throws IOException {
+        return QuotaCodec.readReturned(in);
+      }
     };
 
     abstract LinkMessage read(CodedInputStream in) throws IOException;
@@ -366,12 +393,12 @@
     return new LinkMessage.AttemptsEnded(service, reports);
   }
 
-  private static void writeKey(CodedOutputStream out, PlacementKey k) throws IOException {
+  static void writeKey(CodedOutputStream out, PlacementKey k) throws IOException {
     out.writeFixed32NoTag(k.hostHash());
     out.writeUInt64NoTag(k.sequenceNumber());
   }
 
-  private static PlacementKey readKey(CodedInputStream in) throws IOException {
+  static PlacementKey readKey(CodedInputStream in) throws IOException {
     return new PlacementKey(in.readFixed32(), in.readUInt64());
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkMessage.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.placing.PlacementRequest;
+import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.List;
@@ -106,4 +107,29 @@
       limits = List.copyOf(limits);
     }
   }
+
+  /**
+   * Requests a permit of a workspace's quota from the quota's owner.
+   *
+   * @param workspace the workspace's name
+   * @param key identifies the request; a repeated one takes no second permit
+   */
+  record QuotaRequested(String workspace, PlacementKey key) implements LinkMessage {}
+
+  /**
+   * Returns the decision on a request for a permit.
+   *
+   * @param key the key of the request
+   * @param decision the decision
+   */
+  record QuotaDecided(PlacementKey key, QuotaDecision decision) implements LinkMessage {}
+
+  /**
+   * Returns a permit to the host that granted it, because its request did not run, or cancels the
+   * request for it.
+   *
+   * @param workspace the workspace's name
+   * @param key the key of the request
+   */
+  record QuotaReturned(String workspace, PlacementKey key) implements LinkMessage {}
 }
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -0,0 +1,275 @@
+package dev.cactusstack.gateway.scheduling;
+
+import dev.cactusstack.decisions.gossip.PeerTable;
+import dev.cactusstack.decisions.placing.PlacementKey;
+import dev.cactusstack.decisions.quotas.QuotaBucket;
+import dev.cactusstack.decisions.quotas.QuotaDecision;
+import dev.cactusstack.decisions.quotas.QuotaShare;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.model.site.SiteConfiguration;
+import dev.cactusstack.model.site.Workspace;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * This host as the owner of quotas: grants permits for its share of the quota of each workspace.
+ *
+ * <p>Invariants: it keeps state only for workspaces with a quota in its own configuration, and only
+ * while it has a share of it. It never grants more than its share, whoever asks. Confined to the
+ * event loop.
+ */
+public final class QuotaOwners {
+  /** Time after which a caller tries again that meets no host with a share, in milliseconds. */
+  static final long RETRY_WITHOUT_SHARE_MS = 1_000;
+
+  private static final String KEY_PREFIX = "quota/";
+
+  /** Computes a share; see {@link QuotaShare#of}. */
+  interface ShareRule {
+    double share(int rank, long firstForMs, int usableHosts, int knownHosts, long longestRunningMs);
+  }
+
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final PeerTable peers;
+  private final Supplier<Optional<SiteConfiguration>> configuration;
+  private final ShareRule shareRule;
+  private final SchedulerStandings standings;
+  private final Map<String, QuotaBucket> buckets = new HashMap<>();
+  private final Map<String, Long> configuredAtMs = new HashMap<>();
+  private @Nullable SiteConfiguration lastConfiguration;
+  private long granted;
+  private long refused;
+  private long returned;
+
+  /**
+   * Creates an instance that has granted nothing.
+   *
+   * @param clock a monotonic clock, in milliseconds
+   * @param log logs changes of shares
+   * @param peers tracks which hosts are alive
+   * @param selfHash hash of this host's name
+   * @param knowsHosts whether this host is registered and has read the other hosts from the store
+   * @param configuration supplies the configuration in force
+   */
+  public QuotaOwners(
+      LongSupplier clock,
+      EventLog log,
+      PeerTable peers,
+      int selfHash,
+      BooleanSupplier knowsHosts,
+      Supplier<Optional<SiteConfiguration>> configuration) {
+    this(clock, log, peers, selfHash, knowsHosts, configuration, QuotaShare::of);
+  }
+
+  QuotaOwners(
+      LongSupplier clock,
+      EventLog log,
+      PeerTable peers,
+      int selfHash,
+      BooleanSupplier knowsHosts,
+      Supplier<Optional<SiteConfiguration>> configuration,
+      ShareRule shareRule) {
+    this.clock = clock;
+    this.log = log;
+    this.peers = peers;
+    this.configuration = configuration;
+    this.shareRule = shareRule;
+    this.standings = new SchedulerStandings(peers, selfHash, knowsHosts);
+  }
+
+  /** Returns the key under which the owners of a workspace's quota are ranked. */
+  static String rankingKey(String workspace) {
+    return KEY_PREFIX + workspace;
+  }
+
+  /**
+   * Decides on a request for a permit of this or another host.
+   *
+   * @return undecided if this host has no share of the quota or does not know the workspace
+   */
+  QuotaDecision decide(String workspace, PlacementKey key) {
+    Workspace known = find(workspace);
+    if (known == null) {
+      return QuotaDecision.UNDECIDED;
+    }
+    if (!known.hasQuota()) {
+      return QuotaDecision.GRANTED;
+    }
+    long now = clock.getAsLong();
+    QuotaBucket bucket = currentBucket(known, now);
+    if (bucket == null) {
+      return QuotaDecision.UNDECIDED;
+    }
+    boolean repeated = bucket.remembers(key);
+    QuotaDecision decision = bucket.request(key, now);
+    if (repeated) {
+      return decision;
+    }
+    if (decision.isGranted()) {
+      granted++;
+    } else {
+      refused++;
+    }
+    return decision;
+  }
+
+  /** Returns a permit whose request did not run. */
+  void giveBack(String workspace, PlacementKey key) {
+    QuotaBucket bucket = buckets.get(workspace);
+    if (bucket != null && bucket.giveBack(key, clock.getAsLong())) {
+      returned++;
+    }
+  }
+
+  /** Checks whether this host is the first in its ranking of a workspace's quota owners. */
+  boolean isOwner(String workspace) {
+    return standings.look(rankingKey(workspace), clock.getAsLong()).isFirst();
+  }
+
+  private @Nullable Workspace find(String workspace) {
+    return configuration.get().map(c -> c.workspaces().get(workspace)).orElse(null);
+  }
+
+  /** Returns the bucket with the share that this host has now; null if it has none. */
+  private @Nullable QuotaBucket currentBucket(Workspace workspace, long nowMs) {
+    SchedulerStandings.Standing standing = standings.look(rankingKey(workspace.name()), nowMs);
+    double share =
+        shareRule.share(
+            standing.rank(),
+            standing.leadingForMs(),
+            standing.usableHosts(),
+            standing.knownHosts(),
+            peers.longestRunningMs(nowMs));
+    QuotaBucket bucket = buckets.get(workspace.name());
+    double before = bucket == null ? 0 : bucket.share();
+    if (share != before) {
+      log.event("quota_share")
+          .with("workspace", workspace.name())
+          .with("share", Double.toString(share))
+          .with("before", Double.toString(before))
+          .with("rank", standing.rank())
+          .with("usable", standing.usableHosts())
+          .with("known", standing.knownHosts())
+          .write();
+    }
+    if (share == 0) {
+      buckets.remove(workspace.name());
+      return null;
+    }
+    double rate = workspace.requestsPerSecond();
+    if (bucket == null) {
+      bucket = createBucket(workspace, share, standing, nowMs);
+      buckets.put(workspace.name(), bucket);
+    }
+    bucket.update(rate, workspace.burst(), share, nowMs);
+    return bucket;
+  }
+
+  private QuotaBucket createBucket(
+      Workspace workspace, double share, SchedulerStandings.Standing standing, long nowMs) {
+    double rate = workspace.requestsPerSecond();
+    Long configuredMs = configuredAtMs.get(workspace.name());
+    boolean knowsAllUse =
+        standing.isFirst()
+            && share == 1
+            && configuredMs != null
+            && standing.leadingSinceMs() <= configuredMs;
+    if (knowsAllUse) {
+      return QuotaBucket.full(rate, workspace.burst(), share, nowMs);
+    }
+    long sinceMs = standing.isFirst() ? standing.leadingSinceMs() : nowMs;
+    return QuotaBucket.takenOver(rate, workspace.burst(), share, sinceMs);
+  }
+
+  /** Handles a change of the configuration in force. */
+  public void onConfigurationChanged() {
+    SiteConfiguration current = configuration.get().orElse(null);
+    if (current == null || current.workspaces().isEmpty() && buckets.isEmpty()) {
+      lastConfiguration = current;
+      return;
+    }
+    long now = clock.getAsLong();
+    standings.observe(now);
+    for (Workspace workspace : current.workspaces().values()) {
+      if (lastConfiguration != null && workspace.hasQuota() && !hasQuota(workspace.name())) {
+        configuredAtMs.put(workspace.name(), now);
+      }
+    }
+    lastConfiguration = current;
+    configuredAtMs.keySet().removeIf(name -> !hasQuota(name));
+    lookAtShares(current, now);
+    standings.forgetIf(key -> !hasQuota(key.substring(KEY_PREFIX.length())));
+  }
+
+  private boolean hasQuota(String name) {
+    Workspace known = lastConfiguration == null ? null : lastConfiguration.workspaces().get(name);
+    return known != null && known.hasQuota();
+  }
+
+  /**
+   * Looks at this host's shares, so that it knows for how long it has been the first. Called every
+   * second.
+   */
+  public void tick() {
+    SiteConfiguration current = configuration.get().orElse(null);
+    if (current == null || current.workspaces().isEmpty()) {
+      return;
+    }
+    long now = clock.getAsLong();
+    standings.observe(now);
+    lookAtShares(current, now);
+  }
+
+  private void lookAtShares(SiteConfiguration current, long nowMs) {
+    for (String name : List.copyOf(buckets.keySet())) {
+      Workspace known = current.workspaces().get(name);
+      if (known == null || !known.hasQuota()) {
+        buckets.remove(name);
+        continue;
+      }
+      QuotaBucket bucket = currentBucket(known, nowMs);
+      if (bucket != null) {
+        bucket.forgetOld(nowMs);
+      }
+    }
+  }
+
+  /** Returns the number of workspaces that this host keeps state of. */
+  int size() {
+    return buckets.size();
+  }
+
+  /**
+   * Returns how many permits this host has granted.
+   *
+   * @return the count, without repeated answers
+   */
+  public long grantedCount() {
+    return granted;
+  }
+
+  /**
+   * Returns how many requests for a permit this host has refused.
+   *
+   * @return the count, without repeated answers
+   */
+  public long refusedCount() {
+    return refused;
+  }
+
+  /**
+   * Returns how many permits were returned in time to be granted again.
+   *
+   * @return the count
+   */
+  public long returnedCount() {
+    return returned;
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -43,9 +44,15 @@
 
   /** Returns the host that schedules a service, or empty if it is this host. */
   Optional<HostRegistration> remoteScheduler(String service) {
+    return remoteScheduler(service, Set.of());
+  }
+
+  /** Returns the host that schedules a service without some hosts, or empty if it is this host. */
+  Optional<HostRegistration> remoteScheduler(String service, Set<Address> excluded) {
     long now = clock.getAsLong();
     for (HostRegistration host : rankSchedulers(service, now)) {
-      if (!isSuspected(host.linkAddress(), now)) {
+      Address address = host.linkAddress();
+      if (!isSuspected(address, now) && !excluded.contains(address)) {
         return PeerTable.hash(host.name()) == selfHash ? Optional.empty() : Optional.of(host);
       }
     }
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -21,6 +21,8 @@
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
+import dev.cactusstack.gateway.scheduling.QuotaOwners;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
@@ -108,6 +110,16 @@
           headers,
           client,
           placement,
+          new QuotaClient(
+              channel.eventLoop(),
+              () -> 0L,
+              log,
+              new Link(channel.eventLoop(), log),
+              peers,
+              PeerTable.hash("self"),
+              new QuotaOwners(
+                  () -> 0L, log, peers, PeerTable.hash("self"), () -> true, Optional::empty),
+              placement::nextKey),
           noticeReader,
           new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
           new GatewayMetrics());
@@ -141,7 +153,7 @@
     register("self", new Address("127.0.0.1", 8), 600);
     register("scheduler", SCHEDULER, 6_000);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
-    new ForwardedRequest(context, request, "id", ROUTE, responses::add).start();
+    new ForwardedRequest(context, request, "id", ROUTE, Optional.empty(), responses::add).start();
     decide(
         new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, limit));
     log.flush();
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -15,6 +15,7 @@
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.CallerLimits;
@@ -92,6 +93,11 @@
                   new UpstreamLimit("u", 5, new RequestLimit(0.5, 3_000, 2_900)),
                   new UpstreamLimit("v", 6, new RequestLimit(RequestLimit.UNLIMITED, 1, 0)))),
           new LinkMessage.LimitsKnown("s", List.of()),
+          new LinkMessage.QuotaRequested("w", KEY),
+          new LinkMessage.QuotaDecided(KEY, QuotaDecision.GRANTED),
+          new LinkMessage.QuotaDecided(KEY, QuotaDecision.UNDECIDED),
+          new LinkMessage.QuotaDecided(KEY, QuotaDecision.refused(1_234)),
+          new LinkMessage.QuotaReturned("w", KEY),
           new LinkMessage.ConfigurationUpdate(
               new ConfigurationSnapshot(
                   new SiteConfiguration(
