--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -37,7 +37,6 @@
 
   private final LongSupplier clock;
   private final EventLog log;
-  private final PeerTable peers;
   private final Supplier<Optional<SiteConfiguration>> configuration;
   private final ShareRule shareRule;
   private final SchedulerStandings standings;
@@ -78,7 +77,6 @@
       ShareRule shareRule) {
     this.clock = clock;
     this.log = log;
-    this.peers = peers;
     this.configuration = configuration;
     this.shareRule = shareRule;
     this.standings = new SchedulerStandings(peers, selfHash, knowsHosts);
@@ -120,10 +118,12 @@
     return decision;
   }
 
-  /** Returns a permit whose request did not run. */
+  /** Returns a permit whose request did not run; the return may overtake the request. */
   void giveBack(String workspace, PlacementKey key) {
-    QuotaBucket bucket = buckets.get(workspace);
-    if (bucket != null && bucket.giveBack(key, clock.getAsLong())) {
+    Workspace known = find(workspace);
+    long now = clock.getAsLong();
+    QuotaBucket bucket = known == null || !known.hasQuota() ? null : currentBucket(known, now);
+    if (bucket != null && bucket.giveBack(key, now)) {
       returned++;
     }
   }
@@ -146,7 +146,7 @@
             standing.leadingForMs(),
             standing.usableHosts(),
             standing.knownHosts(),
-            peers.longestRunningMs(nowMs));
+            standing.longestRunningMs());
     QuotaBucket bucket = buckets.get(workspace.name());
     double before = bucket == null ? 0 : bucket.share();
     if (share != before) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
@@ -67,7 +67,15 @@
     if (!isMost(usable, known)) {
       leadingSinceMs = nowMs;
     }
-    var standing = new Standing(rank, firstSinceMs, leadingSinceMs, usable, known, nowMs);
+    var standing =
+        new Standing(
+            rank,
+            firstSinceMs,
+            leadingSinceMs,
+            usable,
+            known,
+            peers.longestRunningMs(nowMs),
+            nowMs);
     standings.put(key, standing);
     return standing;
   }
@@ -126,6 +134,7 @@
    * @param leadingSinceMs since when it is the first and hears of more than half of the hosts
    * @param usableHosts number of hosts that it considers usable
    * @param knownHosts number of hosts that were usable lately
+   * @param longestRunningMs for how long any host that it hears of, or itself, has been running
    * @param atMs the time of the look
    */
   record Standing(
@@ -134,6 +143,7 @@
       long leadingSinceMs,
       int usableHosts,
       int knownHosts,
+      long longestRunningMs,
       long atMs) {
     boolean isFirst() {
       return rank == FIRST;
