--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -8,6 +8,7 @@
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
+import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.decisions.retries.HedgeDelay;
 import dev.cactusstack.gateway.net.Exchange;
 import dev.cactusstack.gateway.net.ExchangeResult;
@@ -15,6 +16,7 @@
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.RouteMetrics;
 import dev.cactusstack.gateway.observe.WorkspaceMetrics;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import dev.cactusstack.model.site.Workspace;
@@ -58,6 +60,7 @@
   private final Set<String> triedUpstreams = new HashSet<>();
   private final Set<String> declinedUpstreams = new HashSet<>();
   private final List<Attempt> activeAttempts = new ArrayList<>();
+  private QuotaClient.@Nullable Permit permit;
   private @Nullable PlacementKey pendingPlacement;
   private @Nullable Future<?> deadlineTimer;
   private @Nullable Future<?> hedgeTimer;
@@ -93,14 +96,55 @@
   }
 
   void start() {
-    context.retryWindows(service).recordRequest(now());
     deadlineTimer =
         context
             .loop()
             .schedule(this::deadlineReached, Math.max(1, remainingMs()), TimeUnit.MILLISECONDS);
+    workspace.filter(Workspace::hasQuota).ifPresentOrElse(this::requestPermit, this::admit);
+  }
+
+  /** Requests the one permit that this request needs, whatever its retries and hedges. */
+  private void requestPermit(Workspace limited) {
+    permit = context.quotas().permit(limited.name(), decision -> permitDecided(limited, decision));
+    permit.request();
+  }
+
+  private void permitDecided(Workspace limited, QuotaDecision decision) {
+    if (decision.isGranted()) {
+      admit();
+    } else {
+      refuseOverQuota(limited, decision.retryAfterMs());
+    }
+  }
+
+  private void admit() {
+    context.retryWindows(service).recordRequest(now());
     requestSlot(false);
   }
 
+  private void refuseOverQuota(Workspace limited, long retryAfterMs) {
+    finish();
+    figures().recordRefusal(Refusal.OVER_QUOTA.label());
+    recordWorkspaceOutcome(Refusal.OVER_QUOTA.label());
+    event("refused")
+        .with("why", Refusal.OVER_QUOTA.label())
+        .with("rate", Double.toString(limited.requestsPerSecond()))
+        .with("burst", Double.toString(limited.burst()))
+        .with("took_ms", now() - request.arrivedAtMs())
+        .with("retry_ms", retryAfterMs)
+        .write();
+    CallerResponse response = CallerResponse.problem(Refusal.OVER_QUOTA);
+    context.wire().setRequestId(response.headers(), id);
+    responseConsumer.accept(response.retryAfter(retryAfterMs));
+  }
+
+  /** Returns the permit of a request that has ended and never ran on any upstream. */
+  private void returnUnusedPermit() {
+    if (permit != null && done && activeAttempts.isEmpty() && !mayHaveRun) {
+      permit.giveBack();
+    }
+  }
+
   @Override
   public void cancel() {
     if (done) {
@@ -115,6 +159,7 @@
     if (route.kind().idempotent()) {
       abandonAll(AttemptOutcome.ABANDONED);
     }
+    returnUnusedPermit();
   }
 
   private void requestSlot(boolean isHedge) {
@@ -309,6 +354,7 @@
       mayHaveRun = true;
     }
     if (done) {
+      returnUnusedPermit();
       return;
     }
     if (end == AttemptOutcome.ANSWERED && result instanceof ExchangeResult.Response r) {
@@ -381,9 +427,6 @@
     if (done) {
       return;
     }
-    boolean sentAny =
-        activeAttempts.stream().anyMatch(a -> a.exchange != null && a.exchange.mayHaveBeenSent());
-    mayHaveRun |= sentAny;
     abandonAll(AttemptOutcome.TIMED_OUT);
     giveUp(Refusal.LATE, RETRY_AFTER_MS);
   }
@@ -433,12 +476,14 @@
     done = true;
     stopTimers();
     cancelPlacement();
+    returnUnusedPermit();
     // Active attempts continue until they end, because the scheduler needs their reports.
   }
 
   private void abandonAll(AttemptOutcome end) {
     for (Attempt a : List.copyOf(activeAttempts)) {
       if (a.exchange != null) {
+        mayHaveRun |= a.exchange.mayHaveBeenSent();
         a.exchange.abort();
       }
       report(a.key, a.upstream, end, now() - a.startedAtMs, Optional.empty());
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.gateway.observe.GatewayMetrics;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
@@ -29,6 +30,7 @@
  * @param authentication checks API keys
  * @param client sends requests to upstreams
  * @param placement assigns requests to upstreams
+ * @param quotas requests the permits of workspaces with a quota
  * @param noticeReader reads and remembers what upstreams say about themselves
  * @param weightedRoundRobin divides routes between several services
  * @param retryWindows retry budgets, by service
@@ -49,6 +51,7 @@
     CallerAuthentication authentication,
     HttpClient client,
     PlacementClient placement,
+    QuotaClient quotas,
     NoticeReader noticeReader,
     WeightedRoundRobin weightedRoundRobin,
     Map<String, RetryWindow> retryWindows,
@@ -70,6 +73,7 @@
    * @param authentication checks API keys
    * @param client sends requests to upstreams
    * @param placement assigns requests to upstreams
+   * @param quotas requests the permits of workspaces with a quota
    * @param noticeReader reads and remembers what upstreams say about themselves
    * @param retryBudget the settings of retry budgets
    * @param figures the host's metrics
@@ -83,6 +87,7 @@
       CallerAuthentication authentication,
       HttpClient client,
       PlacementClient placement,
+      QuotaClient quotas,
       NoticeReader noticeReader,
       RetryBudget retryBudget,
       GatewayMetrics figures) {
@@ -95,6 +100,7 @@
         authentication,
         client,
         placement,
+        quotas,
         noticeReader,
         new WeightedRoundRobin(),
         new HashMap<>(),
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -22,6 +22,8 @@
 import dev.cactusstack.gateway.scheduling.LocalSchedulers;
 import dev.cactusstack.gateway.scheduling.NoticeReader;
 import dev.cactusstack.gateway.scheduling.PlacementClient;
+import dev.cactusstack.gateway.scheduling.QuotaClient;
+import dev.cactusstack.gateway.scheduling.QuotaOwners;
 import dev.cactusstack.gateway.scheduling.UpstreamProber;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
@@ -115,6 +117,16 @@
           new CallerAuthentication(() -> keys, () -> configurationMayBeStale, headers),
           client,
           placement,
+          new QuotaClient(
+              channel.eventLoop(),
+              () -> 0L,
+              log,
+              new Link(channel.eventLoop(), log),
+              peers,
+              PeerTable.hash("self"),
+              new QuotaOwners(
+                  () -> 0L, log, peers, PeerTable.hash("self"), () -> true, Optional::empty),
+              placement::nextKey),
           noticeReader,
           new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
           new GatewayMetrics());
