HTTP client: a response without a length is not complete

A server that responds to an upload at once, without Content-Length or chunked encoding, and then closes in order ended the response: the client delivered a part of the body (Connection: close, HTTP/1.0) or an empty one (kept connection) with status 200, although it had not written the whole request. A body of a kept connection was lost even without an upload.

The client now fails such responses, as module host does.

--- a/http/src/main/java/dev/cactusstack/http/HttpClient.java
+++ b/http/src/main/java/dev/cactusstack/http/HttpClient.java
@@ -5,6 +5,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
@@ -12,6 +13,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
+import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -186,6 +188,11 @@
     private final class Receiver implements ClientCallback<ClientExchange> {
       @Override
       public void completed(ClientExchange x) {
+        if (!endsByItself(x.getResponse())) {
+          PendingRequest.this.failed(
+              new IOException("the response has neither Content-Length nor chunked encoding"));
+          return;
+        }
         StreamSourceChannel source = x.getResponseChannel();
         source.getReadSetter().set(ch -> read(x, ch));
         read(x, source);
@@ -196,6 +203,20 @@
         PendingRequest.this.failed(e);
       }
 
+      /**
+       * Checks whether the end of a response can be distinguished from a lost connection: the
+       * client library does not tell an orderly close from one during the upload, and takes the
+       * body of a kept connection for empty.
+       */
+      private boolean endsByItself(ClientResponse r) {
+        int status = r.getResponseCode();
+        return request.method().equals("HEAD")
+            || status == StatusCodes.NO_CONTENT
+            || status == StatusCodes.NOT_MODIFIED
+            || r.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+            || r.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
+      }
+
       private void read(ClientExchange x, StreamSourceChannel source) {
         ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
         try {
