HTTP client: a status outside 200 to 599 is not a response

The client delivered 000, 099, 101, 102, 199, 600 and 999 to its callers as the status of a complete response (seven failing cases of the new test). It now fails such responses, which may have been processed.

--- a/http/src/main/java/dev/cactusstack/http/HttpClient.java
+++ b/http/src/main/java/dev/cactusstack/http/HttpClient.java
@@ -45,6 +45,7 @@
 public final class HttpClient {
   private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
   private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int MAX_STATUS = 599;
   private static final OptionMap OPTIONS = OptionMap.create(UndertowOptions.ENABLE_HTTP2, false);
 
   private final XnioWorker worker;
@@ -188,6 +189,12 @@
     private final class Receiver implements ClientCallback<ClientExchange> {
       @Override
       public void completed(ClientExchange x) {
+        int status = x.getResponse().getResponseCode();
+        if (status < StatusCodes.OK || status > MAX_STATUS) {
+          PendingRequest.this.failed(
+              new IOException("status " + status + " is not that of a response"));
+          return;
+        }
         if (!endsByItself(x.getResponse())) {
           PendingRequest.this.failed(
               new IOException("the response has neither Content-Length nor chunked encoding"));
--- a/http/src/test/java/dev/cactusstack/http/MalformedResponseTest.java
+++ b/http/src/test/java/dev/cactusstack/http/MalformedResponseTest.java
@@ -151,6 +151,14 @@
     assertThatThrownBy(() -> send(bodyBytes)).hasCauseInstanceOf(HttpException.class);
   }
 
+  /** Guards against a status that is none, which callers of the client would take for one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "101", "102", "199", "600", "999"})
+  void shouldFailWhenTheStatusIsNotThatOfAResponse(String status) {
+    response = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    assertThatThrownBy(() -> send(0)).hasCauseInstanceOf(HttpException.class);
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {200, 204, 302, 404, 599})
   void shouldDeliverACompleteResponse(int status) {
