Attempts: a status outside 200 to 599 is not a response

Such a response now ends the attempt like a lost connection, before its fields are read: the caller gets 502, or the request is retried where that is allowed.

Resets and closes during an upload of 8 MB, with a body without length, with Content-Length and in chunks, never completed a part of a body before either; the tests stay.

--- a/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/Attempt.java
@@ -246,6 +246,13 @@
     }
     lastProgressNanos = ticker.nanos();
     ClientResponse response = x.getResponse();
+    if (!ResponseChecks.isFinalStatus(response)) {
+      int status = response.getResponseCode();
+      fail(
+          AttemptEvent.CONNECTION_LOST,
+          new IOException("status " + status + " is not that of a response"));
+      return;
+    }
     if (ResponseChecks.reportsNotRun(response)) {
       listener.refused(response);
       fail(AttemptEvent.REFUSED, new IOException(ResponseChecks.refusalReason(response)));
--- a/host/src/main/java/dev/cactusstack/host/callers/ResponseChecks.java
+++ b/host/src/main/java/dev/cactusstack/host/callers/ResponseChecks.java
@@ -8,11 +8,18 @@
 
 /** Checks the heads of responses. Stateless. */
 final class ResponseChecks {
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_FINAL_STATUS = 599;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
   private ResponseChecks() {}
 
+  /** Returns whether the status is that of a response that no other follows. */
+  static boolean isFinalStatus(ClientResponse r) {
+    return r.getResponseCode() >= MIN_FINAL_STATUS && r.getResponseCode() <= MAX_FINAL_STATUS;
+  }
+
   /** Returns whether the sender reports that it did not run the request. */
   static boolean reportsNotRun(ClientResponse r) {
     return CactusHeaders.OUTCOME_NOT_RUN.equals(
