Store: revisions are pairs of the store's era and revision; hosts follow a restore

The store may be restored to an older state, after which its revisions go back and are assigned again. So far a host took a lower revision for an old one for ever: it ignored evacuations and configurations, and a host that restarted was not noticed.

Upstreams that are missing in the restored store stay in use as long as the last read before may be used (1.6 s). A host writes its row again, with the incarnation that it has had, when an answer or another host's gossip tells a later era. The message format has a new number.

--- a/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/gossip/PeerTable.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.decisions.gossip;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks which hosts are alive, by gossip of heartbeat counters (van Renesse, Minsky and Hayden,
@@ -234,7 +236,7 @@
    */
   public void mergeHeartbeats(List<HeartbeatState> heartbeats, long nowMs) {
     for (HeartbeatState received : heartbeats) {
-      Peer known = peers.get(received.hostHash());
+      Peer known = adoptEra(peers.get(received.hostHash()), received);
       if (known == null || received.incarnation() != known.registration.incarnation()) {
         continue;
       }
@@ -247,6 +249,33 @@
     }
   }
 
+  /**
+   * Completes the incarnation of a host whose row did not tell the era of its revision, from a
+   * heartbeat, whose incarnation the host itself knows.
+   */
+  private @Nullable Peer adoptEra(@Nullable Peer known, HeartbeatState received) {
+    if (known == null
+        || known.registration.incarnation() == received.incarnation()
+        || known.registration.incarnation() != StoreRevision.revisionOf(received.incarnation())) {
+      return known;
+    }
+    HostRegistration row = known.registration;
+    var complete =
+        new HostRegistration(
+            row.name(),
+            row.dataCentre(),
+            row.callerAddress(),
+            row.linkAddress(),
+            row.milliCores(),
+            received.incarnation());
+    var initial =
+        new HeartbeatState(
+            received.hostHash(), received.incarnation(), 0, false, StoreContact.UNKNOWN, false);
+    var adopted = new Peer(complete, initial, known.startRecordedMs);
+    peers.put(received.hostHash(), adopted);
+    return adopted;
+  }
+
   /**
    * Considers other hosts dead sooner unless they are heard of again, because this host was
    * stopped, and heartbeats that waited meanwhile look new.
--- a/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/registrations/StoreOutageDetector.java
@@ -75,6 +75,15 @@
     lastReadAtMs = sentAtMs;
   }
 
+  /**
+   * Records that the store was restored to an older state, in which registrations since then are
+   * missing. As long as the last read before the restore may be used, they are.
+   */
+  public void recordRestore() {
+    renewedAtMs = Math.max(renewedAtMs, lastReadAtMs + RegistrationAge.MAX_FOR_PLACEMENT_MS);
+    outageBeganAtMs = lastReadAtMs;
+  }
+
   /**
    * Returns when all upstreams that are alive have renewed their registrations after the last
    * outage.
--- a/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/gossip/PeerTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.ArrayList;
@@ -335,4 +336,48 @@
     table.markLeaving();
     assertThat(table.countUsableWithin(60_000, 200)).isEqualTo(1);
   }
+
+  private static PeerTable tableWith(HostRegistration other) {
+    var table = new PeerTable("self", DEAD_AFTER_MS, new SplittableRandom(1));
+    table.recordStart(host("self", StoreRevision.of(2, 90)), 0);
+    table.recordStart(other, 0);
+    return table;
+  }
+
+  private static HeartbeatState heartbeat(String name, long incarnation, long counter) {
+    return new HeartbeatState(
+        PeerTable.hash(name), incarnation, counter, false, StoreContact.UNKNOWN, true);
+  }
+
+  /** A row that was written before a restore does not tell the era of its revision. */
+  @Test
+  void shouldTakeTheEraFromAHeartbeatWhenTheRowDoesNotTellIt() {
+    PeerTable table = tableWith(host("other", 7));
+    long incarnation = StoreRevision.of(1, 7);
+    table.mergeHeartbeats(List.of(heartbeat("other", incarnation, 3)), 10);
+    assertThat(table.usableHosts(20)).contains(host("other", incarnation));
+  }
+
+  /** Guards against a host that restarts after a restore and whose lower revision looks old. */
+  @Test
+  void shouldRecognizeARestartWhenItsRevisionIsLowerInALaterEra() {
+    PeerTable table = tableWith(host("other", StoreRevision.of(1, 70)));
+    HostRegistration restarted = host("other", StoreRevision.of(2, 60));
+    assertThat(table.recordStart(restarted, 10)).isTrue();
+    table.mergeHeartbeats(List.of(heartbeat("other", StoreRevision.of(1, 70), 99)), 20);
+    table.mergeHeartbeats(List.of(heartbeat("other", restarted.incarnation(), 1)), 30);
+    assertThat(table.usableHosts(40)).contains(restarted);
+    assertThat(table.recordStart(host("other", StoreRevision.of(1, 70)), 50)).isFalse();
+  }
+
+  /** Guards against a restart that is not noticed because its revision was given out again. */
+  @Test
+  void shouldRecognizeARestartWhenItsRevisionIsTheSameInALaterEra() {
+    PeerTable table = tableWith(host("other", StoreRevision.of(1, 70)));
+    table.mergeHeartbeats(List.of(heartbeat("other", StoreRevision.of(1, 70), 99)), 5);
+    HostRegistration restarted = host("other", StoreRevision.of(2, 70));
+    assertThat(table.recordStart(restarted, 10)).isTrue();
+    table.mergeHeartbeats(List.of(heartbeat("other", restarted.incarnation(), 1)), 4_000);
+    assertThat(table.usableHosts(4_010)).contains(restarted);
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -80,6 +80,7 @@
   private final CallerListener directory;
   private final CallerListener metrics;
   private boolean draining;
+  private long storeRestores;
 
   /**
    * Creates a host that has not started.
@@ -122,6 +123,7 @@
             store,
             configuration::activeConfiguration,
             () -> peers.isStoreConfirmed(clock.getAsLong()));
+    store.onRestored(this::onStoreRestored);
     upstreams.onStoreRead(configuration::onOtherRevisions, configuration::readUnwatched);
     this.link = new Link(loop, log);
     var self =
@@ -221,6 +223,8 @@
     registry.registerCounter("cactusstack_store_calls", "Calls to the store", store::callCount);
     registry.registerCounter(
         "cactusstack_store_failures", "Failed calls to the store", store::failedCallCount);
+    registry.registerCounter(
+        "cactusstack_store_restores", "Restores of the store", () -> storeRestores);
     registry.registerCounter(
         "cactusstack_upstream_connections",
         "Connections opened to upstreams",
@@ -295,6 +299,14 @@
     return opened;
   }
 
+  private void onStoreRestored(long era) {
+    storeRestores++;
+    log.event("store_restored").with("era", era).write();
+    configuration.onStoreRestored();
+    upstreams.onStoreRestored();
+    hosts.onStoreRestored(era);
+  }
+
   private static void failOnError(
       @org.jspecify.annotations.Nullable Throwable cause,
       CompletableFuture<Void> opened,
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -1,6 +1,8 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.matching.RouteMatcher;
+import dev.cactusstack.decisions.recovery.RestoredRules;
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.ConfigurationChange;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
@@ -38,6 +40,10 @@
  * show that the store has changed at a revision that this host cannot explain, the configuration is
  * read.
  *
+ * <p>A revision here is a pair of the store's era and revision. After a restore of the store, the
+ * evacuations and rollout orders are those of the restored store, and {@link RestoredRules} decides
+ * about the rest.
+ *
  * <p>Invariant: the configuration in force never reverts to an older revision. Confined to the
  * event loop.
  */
@@ -59,6 +65,7 @@
   private final BooleanSupplier isReader;
   private final LongPredicate isHostStart;
   private final Set<Long> unexplainedRevisions = new HashSet<>();
+  private final RestoredRules restoredRules = new RestoredRules();
   private Runnable changeListener = () -> {};
   private Consumer<ConfigurationSnapshot> snapshotListener = k -> {};
   private @Nullable SiteConfiguration activeConfiguration;
@@ -67,11 +74,14 @@
   private boolean followingPaused;
   private boolean rereadPending;
   private boolean explanationPending;
+  private boolean heldRulesReadPending;
+  private int followGeneration;
   private boolean storeFailing;
   private long failingSinceMs;
   private long retryDelayMs = READ_RETRY_MS;
   private long lastChangeRevision;
   private long watchRevision;
+  private long rulesEra;
 
   /**
    * Creates a controller that knows no configuration.
@@ -173,7 +183,7 @@
    */
   public Optional<ConfigurationSnapshot> snapshot() {
     return activeConfiguration()
-        .map(current -> new ConfigurationSnapshot(current, lastChangeRevision));
+        .map(current -> new ConfigurationSnapshot(current, lastChangeRevision, rulesEra));
   }
 
   /**
@@ -207,7 +217,22 @@
             true,
             Optional.of(rules),
             evacuations,
-            rollouts));
+            rollouts),
+        received.rulesEra());
+  }
+
+  /** Reads the configuration, because the store was restored to an older state. */
+  public void onStoreRestored() {
+    log.event("store_restored_configuration")
+        .with("version", activeConfiguration == null ? 0 : activeConfiguration.version())
+        .write();
+    if (fullyRead && !followingPaused) {
+      // A watch from a revision of the era before may miss changes, or be answered never.
+      fullyRead = false;
+      followStore();
+    } else if (fullyRead) {
+      readUnwatched();
+    }
   }
 
   /**
@@ -288,12 +313,13 @@
             (change, failure) -> {
               rereadPending = false;
               if (failure == null) {
-                apply(change);
+                applyFromStore(change);
               }
             });
   }
 
   private void followStore() {
+    int generation = ++followGeneration;
     if (fullyRead && !isReader.getAsBoolean()) {
       followingPaused = true;
       return;
@@ -304,6 +330,9 @@
             : store.readConfiguration();
     call.whenComplete(
         (change, failure) -> {
+          if (generation != followGeneration) {
+            return;
+          }
           if (failure == null) {
             onStoreRecovered();
             onStoreChange(change);
@@ -318,7 +347,7 @@
     // The first configuration is always read in full, so that older entries are not missed.
     fullyRead = change.fullSnapshot() || activeConfiguration != null;
     if (fullyRead) {
-      apply(change);
+      applyFromStore(change);
     }
     followStore();
   }
@@ -346,7 +375,7 @@
     // A failed watch may have missed changes that a new watch does not deliver, so read all.
     boolean wasWatching = fullyRead;
     fullyRead = false;
-    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
+    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE && wasWatching) {
       log.event("configuration_history_gone").write();
       followStore();
       return;
@@ -363,11 +392,49 @@
     }
   }
 
-  private void apply(ConfigurationChange change) {
+  private void applyFromStore(ConfigurationChange change) {
+    apply(change, StoreRevision.eraOf(change.revision()));
+  }
+
+  /** Reads the store again when its older rules would replace those in force. */
+  private void scheduleReadOfHeldRules() {
+    if (heldRulesReadPending || !holdsRules()) {
+      return;
+    }
+    heldRulesReadPending = true;
+    long waitMs = Math.max(READ_RETRY_MS, restoredRules.remainingMs(clock.getAsLong()));
+    log.event("configuration_held").with("for_ms", waitMs).write();
+    loop.schedule(
+        () -> {
+          heldRulesReadPending = false;
+          if (holdsRules()) {
+            reread();
+          }
+        },
+        waitMs,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Checks whether the rules in force were read before the restore that is known. */
+  private boolean holdsRules() {
+    return activeConfiguration != null
+        && rulesEra < StoreRevision.eraOf(activeConfiguration.revision());
+  }
+
+  /**
+   * Applies a change.
+   *
+   * @param change the change
+   * @param changeRulesEra the store's era in which the rules of the change were read
+   */
+  private void apply(ConfigurationChange change, long changeRulesEra) {
     SiteConfiguration previous = activeConfiguration;
-    if (previous != null && change.revision() <= previous.revision()) {
+    if (previous != null
+        && (change.revision() < previous.revision()
+            || change.revision() == previous.revision() && !holdsRules())) {
       return;
     }
+    boolean takesRules = takesRules(previous, change, changeRulesEra);
     boolean revisionKnown = change.lastChangeRevision() > lastChangeRevision;
     lastChangeRevision = Math.max(lastChangeRevision, change.lastChangeRevision());
     Set<String> evacuated = new HashSet<>();
@@ -385,13 +452,15 @@
               }
             });
     Map<String, RolloutOrder> rollouts = mergeRollouts(previous, change);
-    SiteConfiguration next = merge(previous, change, evacuated, rollouts);
+    SiteConfiguration next = merge(previous, change, takesRules, evacuated, rollouts);
     if (next == null) {
       return;
     }
     activeConfiguration = next;
+    rulesEra = takesRules ? changeRulesEra : rulesEra;
     watchRevision = Math.max(watchRevision, next.revision());
-    boolean rulesChanged = previous == null || previous.version() != next.version();
+    scheduleReadOfHeldRules();
+    boolean rulesChanged = previous == null || takesRules && !hasSameRules(previous, next);
     if (rulesChanged) {
       routeMatcher = new RouteMatcher(next.routes());
     }
@@ -414,7 +483,7 @@
         // A full snapshot does not tell the revision at which an evacuation was taken back.
         lastChangeRevision = change.revision();
       }
-      snapshotListener.accept(new ConfigurationSnapshot(next, lastChangeRevision));
+      snapshotListener.accept(new ConfigurationSnapshot(next, lastChangeRevision, rulesEra));
     }
   }
 
@@ -433,14 +502,35 @@
     return rollouts;
   }
 
+  private static boolean hasSameRules(SiteConfiguration a, SiteConfiguration b) {
+    return a.version() == b.version()
+        && a.routes().equals(b.routes())
+        && a.services().equals(b.services())
+        && a.limits().equals(b.limits())
+        && a.workspaces().equals(b.workspaces());
+  }
+
+  private boolean takesRules(
+      @Nullable SiteConfiguration previous, ConfigurationChange change, long changeRulesEra) {
+    if (change.rules().isEmpty() || previous == null) {
+      return change.rules().isPresent();
+    }
+    return restoredRules.replaces(
+        changeRulesEra,
+        rulesEra,
+        change.rules().get().version(),
+        previous.version(),
+        clock.getAsLong());
+  }
+
   private static @Nullable SiteConfiguration merge(
       @Nullable SiteConfiguration previous,
       ConfigurationChange change,
+      boolean takesRules,
       Set<String> evacuated,
       Map<String, RolloutOrder> rollouts) {
-    if (change.rules().isPresent()
-        && (previous == null || change.rules().get().version() > previous.version())) {
-      ConfigurationChange.RoutingRules routingRules = change.rules().get();
+    if (takesRules) {
+      ConfigurationChange.RoutingRules routingRules = change.rules().orElseThrow();
       return new SiteConfiguration(
           change.revision(),
           routingRules.version(),
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.gossip.ReaderSilence;
 import dev.cactusstack.decisions.gossip.StoreContact;
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.registrations.SuspensionDetector;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.scheduling.Link;
@@ -62,6 +63,10 @@
   private boolean readerCheckPending;
   private long startedAtMs;
   private boolean registered;
+  private HostRegistration ownRegistration;
+  private long knownEra;
+  private long rowEra;
+  private boolean rewriting;
 
   /**
    * Creates a controller.
@@ -103,6 +108,7 @@
     this.link = link;
     this.configuration = configuration;
     this.self = self;
+    this.ownRegistration = self;
     this.random = random;
     this.storeContact = storeContact;
     this.knowsUpstreams = knowsUpstreams;
@@ -175,6 +181,8 @@
         .thenCompose(
             registration -> {
               peers.recordStart(registration, clock.getAsLong());
+              ownRegistration = registration;
+              rowEra = StoreRevision.eraOf(registration.incarnation());
               return store.readHosts();
             })
         .whenComplete(
@@ -189,6 +197,7 @@
               registrations.forEach(host -> peers.recordStart(host, clock.getAsLong()));
               log.event("registered").with("hosts", registrations.size()).write();
               registered = true;
+              onStoreRestored(rowEra);
               lastRoundAtMs = clock.getAsLong();
               gossipRound();
               loop.scheduleAtFixedRate(
@@ -196,6 +205,35 @@
             });
   }
 
+  /**
+   * Handles a restore of the store, after which this host's registration may be missing in it, by
+   * writing it again. The incarnation stays, because the host did not start again.
+   *
+   * @param era the era that the restore has begun
+   */
+  public void onStoreRestored(long era) {
+    knownEra = Math.max(knownEra, era);
+    if (!registered || rewriting || rowEra >= knownEra) {
+      return;
+    }
+    rewriting = true;
+    long target = knownEra;
+    store
+        .register(ownRegistration)
+        .whenComplete(
+            (registration, failure) -> {
+              rewriting = false;
+              if (failure == null) {
+                rowEra = target;
+                log.event("registered_again").with("era", target).write();
+                onStoreRestored(target);
+              } else {
+                loop.schedule(
+                    () -> onStoreRestored(target), REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
   /** Announces to other hosts that this one accepts no new callers. */
   public void announceLeaving() {
     peers.markLeaving();
@@ -220,6 +258,7 @@
       }
     }
     peers.mergeHeartbeats(gossip.heartbeats(), now);
+    onStoreRestored(StoreRevision.eraOf(gossip.configurationRevision()));
     configuration.onRevisionAnnounced(
         gossip.configurationRevision(),
         knownRevision -> link.send(new LinkMessage.ConfigurationQuery(knownRevision), from));
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -70,6 +70,7 @@
   private long readRequestedAtMs = NEVER;
   private boolean readInProgress;
   private boolean pollScheduled;
+  private boolean restored;
 
   /**
    * Creates a controller that knows no upstreams.
@@ -122,6 +123,17 @@
     storeRegainedListener = storeRegained;
   }
 
+  /**
+   * Handles a restore of the store to an older state. Upstreams that have registered since that
+   * state are missing in it until they register again, like after an outage.
+   */
+  public void onStoreRestored() {
+    restored = true;
+    if (isPolling()) {
+      read();
+    }
+  }
+
   /** Handles a change of the configuration in force. */
   public void onConfigurationChanged() {
     changeListener.run();
@@ -276,7 +288,7 @@
   }
 
   private void onReadFailed(StoreException failure, boolean othersRead) {
-    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE) {
+    if (failure.kind() == StoreException.Kind.HISTORY_UNAVAILABLE && revision != UNKNOWN_REVISION) {
       log.event("upstreams_history_gone").with("revision", revision).write();
       revision = UNKNOWN_REVISION;
       read();
@@ -310,6 +322,10 @@
     revision = change.revision();
     // The response may have waited while this host was frozen, so its age counts from the request.
     lastReadAtMs = readRequestedAtMs;
+    if (restored && change.fullSnapshot()) {
+      restored = false;
+      outageDetector.recordRestore();
+    }
     outageDetector.recordRead(readRequestedAtMs, now);
     Set<String> missing =
         change.fullSnapshot() ? new HashSet<>(registry.registeredIds()) : new HashSet<>();
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
@@ -53,6 +53,7 @@
     for (RolloutOrder order : siteConfiguration.rollouts().values()) {
       writeRollout(out, order);
     }
+    out.writeUInt64NoTag(snapshot.rulesEra());
   }
 
   static ConfigurationSnapshot read(CodedInputStream in) throws IOException {
@@ -87,7 +88,8 @@
     return new ConfigurationSnapshot(
         new SiteConfiguration(
             revision, version, routes, services, limits, evacuated, workspaces, rollouts),
-        changedAt);
+        changedAt,
+        in.readUInt64());
   }
 
   private static void writeRoute(CodedOutputStream out, RouteRule route) throws IOException {
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -11,6 +11,7 @@
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.UpstreamRegistration;
@@ -28,7 +29,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 6;
+  private static final int FORMAT_VERSION = 7;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
@@ -172,7 +173,7 @@
 
   private static void writeGossip(CodedOutputStream out, LinkMessage.Gossip gossip)
       throws IOException {
-    out.writeUInt64NoTag(gossip.configurationRevision());
+    writeRevision(out, gossip.configurationRevision());
     out.writeUInt32NoTag(gossip.startedHosts().size());
     for (HostRegistration host : gossip.startedHosts()) {
       out.writeStringNoTag(host.name());
@@ -180,12 +181,12 @@
       writeAddress(out, host.callerAddress());
       writeAddress(out, host.linkAddress());
       out.writeUInt32NoTag(host.milliCores());
-      out.writeUInt64NoTag(host.incarnation());
+      writeRevision(out, host.incarnation());
     }
     out.writeUInt32NoTag(gossip.heartbeats().size());
     for (HeartbeatState heartbeat : gossip.heartbeats()) {
       out.writeFixed32NoTag(heartbeat.hostHash());
-      out.writeUInt64NoTag(heartbeat.incarnation());
+      writeRevision(out, heartbeat.incarnation());
       out.writeUInt64NoTag(heartbeat.counter());
       out.writeBoolNoTag(heartbeat.leaving());
       out.writeUInt32NoTag(heartbeat.storeContact().ordinal());
@@ -195,7 +196,7 @@
   }
 
   private static LinkMessage readGossip(CodedInputStream in) throws IOException {
-    long revision = in.readUInt64();
+    long revision = readRevision(in);
     List<HostRegistration> startedHosts = new ArrayList<>();
     for (int n = readCount(in); n > 0; n--) {
       startedHosts.add(
@@ -205,14 +206,14 @@
               readAddress(in),
               readAddress(in),
               in.readUInt32(),
-              in.readUInt64()));
+              readRevision(in)));
     }
     List<HeartbeatState> heartbeats = new ArrayList<>();
     for (int n = readCount(in); n > 0; n--) {
       heartbeats.add(
           new HeartbeatState(
               in.readFixed32(),
-              in.readUInt64(),
+              readRevision(in),
               in.readUInt64(),
               in.readBool(),
               StoreContact.values()[readCount(in)],
@@ -222,6 +223,21 @@
     return new LinkMessage.Gossip(revision, startedHosts, heartbeats);
   }
 
+  /** Writes era and revision one after the other, which takes fewer bytes than their pair. */
+  private static void writeRevision(CodedOutputStream out, long pair) throws IOException {
+    out.writeUInt64NoTag(StoreRevision.eraOf(pair));
+    out.writeUInt64NoTag(StoreRevision.revisionOf(pair));
+  }
+
+  private static long readRevision(CodedInputStream in) throws IOException {
+    long era = in.readUInt64();
+    long revision = in.readUInt64();
+    if (!StoreRevision.isPair(era, revision)) {
+      throw new IOException("invalid era " + era + " or revision " + revision);
+    }
+    return StoreRevision.of(era, revision);
+  }
+
   /** Rounds up, so that the age does not shrink when a heartbeat is passed on many times. */
   private static long toAgeUnits(long ageMs) {
     long units = (ageMs + AGE_UNIT_MS - 1) / AGE_UNIT_MS;
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -3,12 +3,18 @@
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 
 /**
  * Persistent store of the operators' configuration and of the registrations of upstreams and hosts.
  *
  * <p>Futures complete on the host's event loop. If a call fails they complete exceptionally, and
  * {@link StoreException#of(Throwable)} returns the reason.
+ *
+ * <p>The store may be restored to an older state, after which it assigns revisions again. All
+ * revisions here are therefore pairs of era and revision, see {@link
+ * dev.cactusstack.decisions.recovery.StoreRevision}, and calls that were answered before a known
+ * restore fail.
  */
 public interface SiteStore {
   /**
@@ -52,11 +58,20 @@
   /**
    * Registers this host.
    *
-   * @param registration the registration; its incarnation is ignored
-   * @return the registration with the incarnation that the store assigned
+   * @param registration the registration; its incarnation is 0 when the host starts, and kept when
+   *     the registration is written again
+   * @return the registration with its incarnation, which the store assigned at the start
    */
   CompletableFuture<HostRegistration> register(HostRegistration registration);
 
+  /**
+   * Sets the listener for restores of the store to an older state.
+   *
+   * @param listener receives the era that a restore has begun, once for each, on the event loop and
+   *     before the call completes whose answer told it
+   */
+  default void onRestored(LongConsumer listener) {}
+
   /**
    * Returns the number of calls made so far.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -209,7 +209,7 @@
     var configuration =
         new SiteConfiguration(
             revision, version, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(evacuated));
-    return new ConfigurationSnapshot(configuration, revision);
+    return new ConfigurationSnapshot(configuration, revision, 0);
   }
 
   @Test
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.LongConsumer;
 
 /** A store whose pending calls a test completes one by one. */
 final class FakeStore implements SiteStore {
@@ -18,6 +19,11 @@
   final List<CompletableFuture<UpstreamChange>> upstreamReads = new ArrayList<>();
   final List<Long> upstreamReadRevisions = new ArrayList<>();
 
+  /** The registrations that hosts wrote, in order. */
+  final List<HostRegistration> registrations = new ArrayList<>();
+
+  private LongConsumer restoreListener = era -> {};
+
   /** The hosts that a registration is confirmed with; without them it is never confirmed. */
   List<HostRegistration> registeredHosts = List.of();
 
@@ -63,11 +69,22 @@
 
   @Override
   public CompletableFuture<HostRegistration> register(HostRegistration registration) {
+    registrations.add(registration);
     return registeredHosts.isEmpty()
         ? new CompletableFuture<>()
         : CompletableFuture.completedFuture(registration);
   }
 
+  @Override
+  public void onRestored(LongConsumer listener) {
+    restoreListener = listener;
+  }
+
+  /** Tells that an answer has shown a new era. */
+  void restore(long era) {
+    restoreListener.accept(era);
+  }
+
   @Override
   public long callCount() {
     return configurationReads.size() + configurationWatches.size() + upstreamReads.size();
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -15,6 +15,7 @@
 import dev.cactusstack.decisions.placing.PlacementRequest;
 import dev.cactusstack.decisions.placing.ReportedLoad;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.CallerLimits;
@@ -48,6 +49,13 @@
               List.of(
                   new HeartbeatState(-1, 9, 4, true, StoreContact.FAILING, true, 3_450),
                   new HeartbeatState(2, 1, 1, false, StoreContact.CONFIRMED, false))),
+          new LinkMessage.Gossip(
+              StoreRevision.of(5, 77),
+              List.of(
+                  new HostRegistration("h", "dc", ADDRESS, ADDRESS, 600, StoreRevision.of(5, 3))),
+              List.of(
+                  new HeartbeatState(
+                      -1, StoreRevision.of(4, 9), 4, true, StoreContact.FAILING, true, 3_450))),
           new LinkMessage.RequestSubmitted(
               "s",
               new PlacementRequest(KEY, "dc", "r", 2, 300, 250, 900, 60_000, true, Set.of("u"))),
@@ -111,7 +119,8 @@
                       Map.of("s", new ServiceSettings("s", "/health", 260, 3_000, 6.6)),
                       CallerLimits.DEFAULT,
                       Set.of("dc")),
-                  79)));
+                  79,
+                  2)));
 
   private static PlacementDecision placed(RequestLimit limit) {
     var upstream = new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0);
--- a/model/src/main/java/dev/cactusstack/model/site/HostRegistration.java
+++ b/model/src/main/java/dev/cactusstack/model/site/HostRegistration.java
@@ -11,8 +11,8 @@
  * @param callerAddress the address at which it accepts requests of callers
  * @param linkAddress the address at which it receives datagrams of other hosts
  * @param milliCores its CPU capacity, in thousandths of a core
- * @param incarnation the store's revision of the registration; a higher one belongs to a later
- *     start
+ * @param incarnation the store's era and revision of the registration; a higher one belongs to a
+ *     later start
  */
 public record HostRegistration(
     String name,
