--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
@@ -17,10 +17,12 @@
   private static final long MAX_SLOT_HOLD_MS = 10_000;
 
   private final UpstreamPool upstreams;
+  private final RolloutPlacements rolloutPlacements;
   private final Map<PlacementKey, Placement> placements = new HashMap<>();
 
-  OpenPlacements(UpstreamPool upstreams) {
+  OpenPlacements(UpstreamPool upstreams, RolloutPlacements rolloutPlacements) {
     this.upstreams = upstreams;
+    this.rolloutPlacements = rolloutPlacements;
   }
 
   /** Places a request on an upstream that takes it now. */
@@ -31,6 +33,7 @@
     Optional<RequestLimit> limit = load.limit().statement(nowMs);
     var placement = new Placement(request, load.registration(), limit, nowMs);
     placements.put(request.key(), placement);
+    rolloutPlacements.recordPlacement(request, load, nowMs);
     return placement.decision(load, nowMs);
   }
 
@@ -49,6 +52,7 @@
    */
   Optional<PlacementRequest> end(AttemptReport attempt, long nowMs) {
     Placement placement = placements.remove(attempt.key());
+    rolloutPlacements.recordEnd(attempt, nowMs);
     Optional<UpstreamLoad> load =
         placement == null
             ? upstreams.findUnlessRestarted(attempt.upstreamId(), nowMs)
@@ -67,6 +71,7 @@
   /** Ends a placement of which nothing was sent. */
   void cancel(PlacementKey key, long nowMs) {
     Placement placement = placements.remove(key);
+    rolloutPlacements.cancel(key);
     if (placement == null) {
       return;
     }
@@ -83,6 +88,7 @@
     long cutoffMs = nowMs - MAX_SLOT_HOLD_MS;
     upstreams.releaseSlotsHeldBefore(cutoffMs);
     placements.values().removeIf(placement -> placement.placedAtMs < cutoffMs);
+    rolloutPlacements.endPlacedBefore(cutoffMs);
   }
 
   private Optional<UpstreamLoad> findLoad(Placement placement) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.decisions.placing;
 
 import dev.cactusstack.decisions.limits.UpstreamLimit;
+import dev.cactusstack.decisions.rollouts.Rollout;
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import java.util.ArrayList;
@@ -28,6 +29,7 @@
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
+  private final RolloutPlacements rolloutPlacements = new RolloutPlacements();
   private final UpstreamPool upstreams;
   private final OpenPlacements openPlacements;
   private final RequestQueue queue = new RequestQueue();
@@ -46,8 +48,8 @@
    */
   public Scheduler(SchedulerSettings settings, RandomGenerator random) {
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
-    this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator);
-    this.openPlacements = new OpenPlacements(upstreams);
+    this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator, rolloutPlacements);
+    this.openPlacements = new OpenPlacements(upstreams, rolloutPlacements);
   }
 
   /**
@@ -73,6 +75,15 @@
     upstreams.updateLimitShare(share, nowMs);
   }
 
+  /**
+   * Sets the roll-out whose state decides which versions are used.
+   *
+   * @param rollout the roll-out; empty if none is ordered, so that versions don't matter
+   */
+  public void updateRollout(Optional<Rollout> rollout) {
+    rolloutPlacements.update(rollout.orElse(null));
+  }
+
   /**
    * Records a limit that another host knows of.
    *
@@ -368,8 +379,13 @@
       RequestQueue.QueuedRequest queued, double limitMs, long nowMs) {
     PlacementRequest request = queued.request();
     return upstreams
-        .findBest(request, nowMs)
+        .findBestCanary(request, nowMs)
         .filter(best -> upstreams.responseMs(best, request, nowMs) <= limitMs)
+        .or(
+            () ->
+                upstreams
+                    .findBest(request, nowMs)
+                    .filter(best -> upstreams.responseMs(best, request, nowMs) <= limitMs))
         .map(best -> place(request, best, nowMs));
   }
 
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
@@ -29,6 +29,7 @@
   private final SchedulerSettings settings;
   private final RandomGenerator random;
   private final ResponseTimeEstimator responseTimeEstimator;
+  private final RolloutPlacements rolloutPlacements;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private final UpstreamStarts starts = new UpstreamStarts();
   private double meanSlowdown = 1.3;
@@ -38,10 +39,12 @@
   UpstreamPool(
       SchedulerSettings settings,
       RandomGenerator random,
-      ResponseTimeEstimator responseTimeEstimator) {
+      ResponseTimeEstimator responseTimeEstimator,
+      RolloutPlacements rolloutPlacements) {
     this.settings = settings;
     this.random = random;
     this.responseTimeEstimator = responseTimeEstimator;
+    this.rolloutPlacements = rolloutPlacements;
   }
 
   /** Replaces the set of upstreams that can receive requests. */
@@ -105,7 +108,7 @@
    */
   double timeUntilTakenMs(PlacementRequest request, long nowMs) {
     double firstMs = Double.POSITIVE_INFINITY;
-    for (UpstreamLoad upstream : loads.values()) {
+    for (UpstreamLoad upstream : usable()) {
       double takenMs = timeUntilTakenMs(upstream, request, nowMs);
       if (takenMs == 0) {
         return 0;
@@ -126,13 +129,27 @@
         upstream.limit().timeUntilAllowedMs(nowMs));
   }
 
+  /** Returns the upstreams that a roll-out allows; all of them if there is none. */
+  private Collection<UpstreamLoad> usable() {
+    return rolloutPlacements.usable(loads.values());
+  }
+
+  /** Finds the best upstream of the version that is rolled out, if a request is due there. */
+  Optional<UpstreamLoad> findBestCanary(PlacementRequest request, long nowMs) {
+    return findBest(rolloutPlacements.canaries(loads.values(), request), request, nowMs);
+  }
+
   /** Finds the upstream on which a request is served best now. */
   Optional<UpstreamLoad> findBest(PlacementRequest request, long nowMs) {
+    return findBest(usable(), request, nowMs);
+  }
+
+  private Optional<UpstreamLoad> findBest(
+      Collection<UpstreamLoad> upstreams, PlacementRequest request, long nowMs) {
     List<UpstreamLoad> cheapest = new ArrayList<>();
     double lowestCostMs = Double.MAX_VALUE;
-    boolean allBackingOff =
-        loads.values().stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
-    for (UpstreamLoad upstream : loads.values()) {
+    boolean allBackingOff = upstreams.stream().allMatch(upstream -> upstream.isBackingOff(nowMs));
+    for (UpstreamLoad upstream : upstreams) {
       if (!isEligible(upstream, request, allBackingOff, nowMs)) {
         continue;
       }
@@ -172,11 +189,12 @@
   /** Returns the interval at which the upstreams can take requests like this one. */
   double serviceIntervalMs(PlacementRequest request) {
     double slotMs = responseTimeEstimator.processingMs(request) * meanSlowdown;
-    if (loads.isEmpty()) {
+    Collection<UpstreamLoad> usable = usable();
+    if (usable.isEmpty()) {
       return slotMs;
     }
     double requestsPerMs = 0;
-    for (UpstreamLoad upstream : loads.values()) {
+    for (UpstreamLoad upstream : usable) {
       double allowedPerMs = upstream.limit().requestsPerSecond() / MS_PER_SECOND;
       requestsPerMs += Math.min(upstream.registration().slots() / slotMs, allowedPerMs);
     }
@@ -190,7 +208,7 @@
   List<UpstreamRegistration> selectProbeTargets(double requestsPerMs, long nowMs) {
     List<UpstreamLoad> stale = new ArrayList<>();
     int good = 0;
-    for (UpstreamLoad upstream : loads.values()) {
+    for (UpstreamLoad upstream : usable()) {
       if (upstream.isKnownGood(LOAD_FRESHNESS_MS, nowMs) && upstream.hasFreeSlot(nowMs)) {
         good++;
       } else if (isProbeUseful(upstream, nowMs)) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import dev.cactusstack.gateway.callers.RequestHandler;
 import dev.cactusstack.gateway.control.ConfigurationController;
 import dev.cactusstack.gateway.control.HostsController;
+import dev.cactusstack.gateway.control.RolloutController;
 import dev.cactusstack.gateway.control.UpstreamsController;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
@@ -71,6 +72,7 @@
   private final ConfigurationController configuration;
   private final UpstreamsController upstreams;
   private final HostsController hosts;
+  private final RolloutController rollouts;
   private final PeerTable peers;
   private final Link link;
   private final PlacementClient placement;
@@ -168,6 +170,15 @@
             clock);
     var noticeReader = new NoticeReader(clock, log, upstreamHeaders);
     var prober = new UpstreamProber(client, upstreamHeaders, noticeReader);
+    var limitShares = new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts);
+    this.rollouts =
+        new RolloutController(
+            loop,
+            clock,
+            log,
+            store,
+            configuration::activeConfiguration,
+            service -> limitShares.isFirst(service, clock.getAsLong()));
     var schedulers =
         new LocalSchedulers(
             loop,
@@ -176,10 +187,11 @@
             schedulerSettings,
             upstreams,
             prober,
-            new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts),
+            limitShares,
             () -> peers.isStoreConfirmed(clock.getAsLong()),
             random,
             PeerTable.hash(settings.host()));
+    schedulers.useRollouts(rollouts);
     this.placement =
         new PlacementClient(
             loop,
@@ -214,6 +226,7 @@
     this.directory = createPort(List.of(siteEndpoints.directory()));
     this.metrics = createPort(List.of(new MetricsHandler(gatewayMetrics)));
     registerCounters(gatewayMetrics, store, prober, noticeReader.notices());
+    rollouts.registerCounters(gatewayMetrics);
   }
 
   private void registerCounters(
@@ -288,13 +301,18 @@
               failOnError(f.cause(), opened, settings.linkAddress());
               opened.complete(null);
             });
-    configuration.start(upstreams::onConfigurationChanged, hosts::announceConfiguration);
+    configuration.start(this::onConfigurationChanged, hosts::announceConfiguration);
     hosts.start();
     loop.scheduleAtFixedRate(
         this::sweep, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     return opened;
   }
 
+  private void onConfigurationChanged() {
+    rollouts.onConfigurationChanged();
+    upstreams.onConfigurationChanged();
+  }
+
   private static void failOnError(
       @org.jspecify.annotations.Nullable Throwable cause,
       CompletableFuture<Void> opened,
--- /dev/null
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -0,0 +1,256 @@
+package dev.cactusstack.gateway.control;
+
+import dev.cactusstack.decisions.rollouts.Rollout;
+import dev.cactusstack.decisions.rollouts.RolloutState;
+import dev.cactusstack.decisions.rollouts.RolloutStatus;
+import dev.cactusstack.gateway.observe.EventLine;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.site.RolloutRow;
+import dev.cactusstack.gateway.site.SiteStore;
+import dev.cactusstack.gateway.site.StoreException;
+import dev.cactusstack.model.site.RolloutOrder;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Drives one roll-out on this host and keeps its status in the store.
+ *
+ * <p>Invariants: a status is written only over the revision of the row that was read last. The new
+ * version gets nothing until the status was read and, if there was none, written. A verdict of the
+ * store takes precedence over one of this host that was not written. Confined to the event loop.
+ */
+final class RolloutTask {
+  /** A host that was taken for dead may go on, so the scheduler looks for another's verdict. */
+  private static final long REFRESH_INTERVAL_MS = 5_000;
+
+  private static final long OTHER_HOST_REFRESH_INTERVAL_MS = 2_000;
+  private static final long USE_MEMORY_MS = 1_000;
+  private static final long RETRY_MS = 250;
+  private static final long MAX_RETRY_MS = 2_000;
+  private static final long PROGRESS_LOG_INTERVAL_MS = 5_000;
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final LongSupplier clock;
+  private final EventLog log;
+  private final SiteStore store;
+  private final Rollout rollout;
+  private final long learnedAtMs;
+  private @Nullable RolloutStatus stored;
+  private long rowRevision;
+  private long startedAtMs = RolloutRow.UNNAMED;
+  private boolean rowKnown;
+  private boolean callPending;
+  private boolean scheduler;
+  private long nextCallAtMs = NEVER;
+  private long retryDelayMs = RETRY_MS;
+  private long lastReadAtMs = NEVER;
+  private long lastUsedAtMs = NEVER;
+  private long loggedAtMs = NEVER;
+  private RolloutState loggedState = RolloutState.UNREAD;
+
+  RolloutTask(LongSupplier clock, EventLog log, SiteStore store, RolloutOrder order) {
+    this.clock = clock;
+    this.log = log;
+    this.store = store;
+    this.rollout = new Rollout(order);
+    this.learnedAtMs = clock.getAsLong();
+  }
+
+  Rollout rollout() {
+    return rollout;
+  }
+
+  void recordUse() {
+    lastUsedAtMs = clock.getAsLong();
+  }
+
+  /** Checks whether nothing is left to do unless the store loses the status. */
+  boolean isSettled() {
+    return rollout.state().isVerdict() && !isWriteDue();
+  }
+
+  /** Reads the status again, and writes the verdict again if the store has lost it. */
+  void reread() {
+    stored = null;
+    rowKnown = false;
+    nextCallAtMs = NEVER;
+  }
+
+  /**
+   * Advances the roll-out and calls the store if needed.
+   *
+   * @param isScheduler whether this host is the first in the service's ranking
+   */
+  void tick(boolean isScheduler) {
+    long now = clock.getAsLong();
+    if (scheduler && !isScheduler) {
+      onSchedulerRoleLost();
+    }
+    scheduler = isScheduler;
+    if (isScheduler) {
+      rollout.advance(now);
+    }
+    logStep(now);
+    if (!callPending && now >= nextCallAtMs) {
+      callStore(now);
+    }
+  }
+
+  /** Keeps a roll-back until it is written, but not a success that another host can't know of. */
+  private void onSchedulerRoleLost() {
+    rollout.suspend();
+    if (!isWritten()) {
+      rollout.discardSuccess();
+    }
+    rowKnown = false;
+  }
+
+  private boolean isWritten() {
+    RolloutStatus status = stored;
+    return status != null && status.state() == rollout.state();
+  }
+
+  private boolean isWriteDue() {
+    return rollout.state().isVerdict() && !isWritten();
+  }
+
+  private void callStore(long now) {
+    if (isWriteDue()) {
+      if (rowKnown) {
+        write(rollout.state());
+      } else {
+        read();
+      }
+      return;
+    }
+    if (rollout.state().isVerdict()) {
+      return;
+    }
+    boolean due =
+        scheduler
+            ? rollout.state() == RolloutState.UNREAD || now - lastReadAtMs >= REFRESH_INTERVAL_MS
+            : now - lastUsedAtMs <= USE_MEMORY_MS
+                && now - lastReadAtMs >= OTHER_HOST_REFRESH_INTERVAL_MS;
+    if (due) {
+      read();
+    }
+  }
+
+  private void read() {
+    callPending = true;
+    store
+        .readRolloutStatus(rollout.order().service())
+        .whenComplete(
+            (row, failure) -> {
+              callPending = false;
+              if (failure == null) {
+                onRead(row);
+              } else {
+                onFailure("read", StoreException.of(failure));
+              }
+            });
+  }
+
+  private void onRead(RolloutRow row) {
+    long now = clock.getAsLong();
+    lastReadAtMs = now;
+    rowRevision = row.revision();
+    rowKnown = true;
+    Optional<RolloutStatus> found = row.statusOf(rollout.order());
+    stored = found.orElse(null);
+    if (found.isPresent()) {
+      retryDelayMs = RETRY_MS;
+      rollout.adopt(found.get().state(), elapsedMs(found.get(), row, now), scheduler, now);
+      logStep(now);
+      return;
+    }
+    if (row.isOfLaterOrder(rollout.order())) {
+      // This host has not learned of the later order yet.
+      rowKnown = false;
+      nextCallAtMs = now + RETRY_MS;
+      return;
+    }
+    startedAtMs = row.storeNowMs() - (now - learnedAtMs);
+    if (rollout.state().isVerdict()) {
+      write(rollout.state());
+    } else if (scheduler) {
+      write(RolloutState.RUNNING);
+    }
+  }
+
+  private long elapsedMs(RolloutStatus status, RolloutRow row, long now) {
+    startedAtMs = status.startedAtMs();
+    long byStoreMs =
+        status.startedAtMs() == RolloutRow.UNNAMED ? 0 : row.storeNowMs() - status.startedAtMs();
+    return Math.max(byStoreMs, now - learnedAtMs);
+  }
+
+  private void write(RolloutState state) {
+    callPending = true;
+    RolloutOrder order = rollout.order();
+    var status = new RolloutStatus(state, order.version(), order.revision(), startedAtMs);
+    store
+        .writeRolloutStatus(order.service(), status, rowRevision)
+        .whenComplete(
+            (revision, failure) -> {
+              callPending = false;
+              if (failure == null) {
+                onWritten(status, revision);
+              } else {
+                onFailure("write", StoreException.of(failure));
+              }
+            });
+  }
+
+  private void onWritten(RolloutStatus status, long revision) {
+    long now = clock.getAsLong();
+    retryDelayMs = RETRY_MS;
+    stored = status;
+    rowRevision = revision;
+    rollout.adopt(status.state(), now - learnedAtMs, scheduler, now);
+    event("rollout_written").with("written", status.state().label()).write();
+    logStep(now);
+  }
+
+  /** The row may have changed, or the write may have taken effect, so the row is read first. */
+  private void onFailure(String call, StoreException failure) {
+    rowKnown = false;
+    nextCallAtMs = clock.getAsLong() + retryDelayMs;
+    event("rollout_store_failed")
+        .with("call", call)
+        .with("cause", String.valueOf(failure.getMessage()))
+        .with("retry_ms", retryDelayMs)
+        .write();
+    retryDelayMs = Math.min(MAX_RETRY_MS, retryDelayMs * 2);
+  }
+
+  private void logStep(long now) {
+    boolean changed = rollout.state() != loggedState;
+    boolean progressDue =
+        rollout.state() == RolloutState.RUNNING && now - loggedAtMs >= PROGRESS_LOG_INTERVAL_MS;
+    if (!changed && !progressDue) {
+      return;
+    }
+    loggedState = rollout.state();
+    loggedAtMs = now;
+    event("rollout")
+        .with("why", changed ? rollout.reason() : "progress")
+        .with("since_order_ms", rollout.elapsedMs(now))
+        .with("placements", rollout.exposure().placements())
+        .with("placements_new", rollout.exposure().newPlacements())
+        .with("answers_old", rollout.judge().answers(false))
+        .with("bad_old", rollout.judge().badAnswers(false))
+        .with("answers_new", rollout.judge().answers(true))
+        .with("bad_new", rollout.judge().badAnswers(true))
+        .write();
+  }
+
+  private EventLine event(String name) {
+    return log.event(name)
+        .with("service", rollout.order().service())
+        .with("version", rollout.order().version())
+        .with("order", rollout.order().revision())
+        .with("state", rollout.state().label());
+  }
+}
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
@@ -68,6 +68,19 @@
     return share;
   }
 
+  /**
+   * Checks whether this host is the first in the ranking of a service.
+   *
+   * @param service the service's name
+   * @param nowMs the current time on a monotonic clock, in milliseconds
+   * @return false also while it does not know the other hosts
+   */
+  public boolean isFirst(String service, long nowMs) {
+    share(service, nowMs);
+    Standing standing = standings.get(service);
+    return standing != null && standing.rank == FIRST;
+  }
+
   private int rank(String service, long nowMs) {
     List<HostRegistration> ranking =
         SchedulerRanking.rank(service, peers.eligibleSchedulers(nowMs), RANKS_WITH_A_SHARE);
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LocalSchedulers.java
@@ -47,6 +47,7 @@
   private final Map<String, Scheduler> schedulersByService = new HashMap<>();
   private final Map<String, Long> lastRequestAtMs = new HashMap<>();
   private Consumer<PlacementDecision> decisionListener = v -> {};
+  private Rollouts rollouts = Rollouts.NONE;
   private boolean tickScheduled;
   private boolean probeScheduled;
   private boolean shareUpdateScheduled;
@@ -89,6 +90,15 @@
     upstreams.onChange(this::refreshUpstreams);
   }
 
+  /**
+   * Sets the roll-outs that the schedulers follow.
+   *
+   * @param found finds the roll-out that is ordered for a service
+   */
+  public void useRollouts(Rollouts found) {
+    rollouts = found;
+  }
+
   void onDecision(Consumer<PlacementDecision> listener) {
     decisionListener = listener;
   }
@@ -137,6 +147,7 @@
   private void decide(String service, PlacementRequest request) {
     long now = clock.getAsLong();
     lastRequestAtMs.put(service, now);
+    rollouts.recordUse(service);
     publish(service, withCurrentShare(service, schedulerFor(service), now).submit(request, now));
     scheduleTick();
     scheduleProbe();
@@ -167,6 +178,7 @@
 
   private Scheduler withCurrentShare(String service, Scheduler scheduler, long nowMs) {
     scheduler.updateLimitShare(limitShares.share(service, nowMs), nowMs);
+    scheduler.updateRollout(rollouts.find(service));
     return scheduler;
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.gateway.site;
 
+import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.model.site.HostRegistration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -57,6 +58,25 @@
    */
   CompletableFuture<HostRegistration> register(HostRegistration registration);
 
+  /**
+   * Reads the status of a service's roll-out.
+   *
+   * @param service the service's name
+   * @return the row, which may not exist
+   */
+  CompletableFuture<RolloutRow> readRolloutStatus(String service);
+
+  /**
+   * Writes the status of a service's roll-out if its row has not changed.
+   *
+   * @param service the service's name
+   * @param status the status
+   * @param expectedRevision the revision of the row that was read, 0 if there was none
+   * @return the new revision of the row
+   */
+  CompletableFuture<Long> writeRolloutStatus(
+      String service, RolloutStatus status, long expectedRevision);
+
   /**
    * Returns the number of calls made so far.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -1,6 +1,8 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.gateway.site.ConfigurationChange;
+import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.gateway.site.UpstreamChange;
@@ -17,6 +19,10 @@
   final List<Long> watchedRevisions = new ArrayList<>();
   final List<CompletableFuture<UpstreamChange>> upstreamReads = new ArrayList<>();
   final List<Long> upstreamReadRevisions = new ArrayList<>();
+  final List<CompletableFuture<RolloutRow>> rolloutReads = new ArrayList<>();
+  final List<CompletableFuture<Long>> rolloutWrites = new ArrayList<>();
+  final List<RolloutStatus> writtenStatuses = new ArrayList<>();
+  final List<Long> writtenOverRevisions = new ArrayList<>();
 
   /** The hosts that a registration is confirmed with; without them it is never confirmed. */
   List<HostRegistration> registeredHosts = List.of();
@@ -68,9 +74,26 @@
         : CompletableFuture.completedFuture(registration);
   }
 
+  @Override
+  public CompletableFuture<RolloutRow> readRolloutStatus(String service) {
+    return addPending(rolloutReads);
+  }
+
+  @Override
+  public CompletableFuture<Long> writeRolloutStatus(
+      String service, RolloutStatus status, long expectedRevision) {
+    writtenStatuses.add(status);
+    writtenOverRevisions.add(expectedRevision);
+    return addPending(rolloutWrites);
+  }
+
   @Override
   public long callCount() {
-    return configurationReads.size() + configurationWatches.size() + upstreamReads.size();
+    return configurationReads.size()
+        + configurationWatches.size()
+        + upstreamReads.size()
+        + rolloutReads.size()
+        + rolloutWrites.size();
   }
 
   @Override
