--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -1,7 +1,9 @@
 package dev.cactusstack.decisions.rollouts;
 
 import dev.cactusstack.model.site.RolloutOrder;
+import dev.cactusstack.model.site.RolloutState;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import java.util.Locale;
 
 /**
  * One roll-out as a scheduler of the service sees it: running, then promoting and succeeded, or
@@ -17,9 +19,10 @@
    * All requests reach the new version for at least this time before the old one stops, because a
    * fault may show only under full load.
    */
-  private static final long MIN_PROMOTION_MS = 1_000;
+  private static final long MIN_PROMOTION_MS = 1_500;
 
   private static final long MAX_PROMOTION_MS = 2_000;
+  private static final long NEVER = Long.MIN_VALUE;
 
   private final RolloutOrder order;
   private final RolloutExposure exposure = new RolloutExposure();
@@ -27,7 +30,7 @@
   private RolloutSchedule schedule;
   private RolloutState state = RolloutState.UNREAD;
   private String reason = "";
-  private long orderedAtMs;
+  private long orderedAtMs = NEVER;
   private long promotedAtMs;
   private int openOldPlacements;
 
@@ -195,7 +198,7 @@
     } else if (conclusion == RolloutJudge.Conclusion.GOOD
         || (last && conclusion == RolloutJudge.Conclusion.INCOMPLETE)) {
       promotedAtMs = nowMs;
-      changeTo(RolloutState.PROMOTING, conclusion.name().toLowerCase(java.util.Locale.ROOT));
+      changeTo(RolloutState.PROMOTING, conclusion.name().toLowerCase(Locale.ROOT));
     } else if (last) {
       changeTo(RolloutState.ROLLED_BACK, "too_few_answers");
     }
@@ -215,7 +218,7 @@
    * @return the time in milliseconds; 0 before the status was read
    */
   public long elapsedMs(long nowMs) {
-    return orderedAtMs == 0 ? 0 : nowMs - orderedAtMs;
+    return orderedAtMs == NEVER ? 0 : nowMs - orderedAtMs;
   }
 
   /**
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutExposure.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutExposure.java
@@ -1,5 +1,7 @@
 package dev.cactusstack.decisions.rollouts;
 
+import dev.cactusstack.model.site.RolloutState;
+
 /**
  * Decides which versions a placement may use.
  *
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutJudge.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutJudge.java
@@ -54,7 +54,7 @@
   private static final double CLEAR_DEVIATIONS = 4;
   private static final double CLEAR_OFFSET = 4;
   private static final double FINAL_DEVIATIONS = 3;
-  private static final double FINAL_OFFSET = 1;
+  private static final double FINAL_OFFSET = 1.25;
 
   private final Map<String, RouteEvidence> routes = new HashMap<>();
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -1,14 +1,14 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.rollouts.Rollout;
-import dev.cactusstack.decisions.rollouts.RolloutState;
-import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.model.site.RolloutOrder;
+import dev.cactusstack.model.site.RolloutState;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTotals.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTotals.java
@@ -1,7 +1,7 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.rollouts.Rollout;
-import dev.cactusstack.decisions.rollouts.RolloutState;
+import dev.cactusstack.model.site.RolloutState;
 
 /** Sums over roll-outs, for metrics. Immutable and thread-safe. */
 record RolloutTotals(
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/RolloutRow.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/RolloutRow.java
@@ -1,7 +1,7 @@
 package dev.cactusstack.gateway.site;
 
-import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.model.site.RolloutOrder;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.Objects;
 import java.util.Optional;
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -1,7 +1,7 @@
 package dev.cactusstack.gateway.site;
 
-import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -1,12 +1,12 @@
 package dev.cactusstack.gateway.control;
 
-import dev.cactusstack.decisions.rollouts.RolloutStatus;
 import dev.cactusstack.gateway.site.ConfigurationChange;
 import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.gateway.site.UpstreamChange;
 import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- /dev/null
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -0,0 +1,271 @@
+package dev.cactusstack.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.cactusstack.decisions.rollouts.Answer;
+import dev.cactusstack.decisions.rollouts.Rollout;
+import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.site.RolloutRow;
+import dev.cactusstack.gateway.site.StoreException;
+import dev.cactusstack.model.site.CallerLimits;
+import dev.cactusstack.model.site.RolloutOrder;
+import dev.cactusstack.model.site.RolloutState;
+import dev.cactusstack.model.site.RolloutStatus;
+import dev.cactusstack.model.site.SiteConfiguration;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** The controller of roll-outs against a store whose calls the test completes. */
+class RolloutControllerTest {
+  private static final RolloutOrder ORDER = new RolloutOrder("s", "v2", 40_000, 7);
+  private static final long STORE_NOW_MS = 500_000;
+  private static final long ROW_REVISION = 9;
+
+  private final VirtualTimeLoop time = new VirtualTimeLoop();
+  private final FakeStore store = new FakeStore();
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final EventLog log = new EventLog(output);
+  private Optional<SiteConfiguration> configuration = Optional.empty();
+  private boolean scheduler = true;
+  private final RolloutController controller =
+      new RolloutController(
+          time.loop(), time::nowMs, log, store, () -> configuration, service -> scheduler);
+
+  private void order(RolloutOrder... orders) {
+    Map<String, RolloutOrder> rollouts = new HashMap<>();
+    for (RolloutOrder order : orders) {
+      rollouts.put(order.service(), order);
+    }
+    configuration =
+        Optional.of(
+            new SiteConfiguration(
+                1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), Map.of(), rollouts));
+    controller.onConfigurationChanged();
+    time.run(20);
+  }
+
+  private Rollout rollout() {
+    return controller.find("s").orElseThrow();
+  }
+
+  private static RolloutStatus status(RolloutState state, long orderRevision, long startedAtMs) {
+    return new RolloutStatus(state, "v2", orderRevision, startedAtMs);
+  }
+
+  private static <T> CompletableFuture<T> last(List<CompletableFuture<T>> calls) {
+    return calls.get(calls.size() - 1);
+  }
+
+  private void answerRead(Optional<RolloutStatus> status, long revision) {
+    last(store.rolloutReads)
+        .complete(new RolloutRow(status, revision, STORE_NOW_MS + time.nowMs() - 1_000_000));
+    time.run(300);
+  }
+
+  private void start() {
+    order(ORDER);
+    answerRead(Optional.empty(), 0);
+    last(store.rolloutWrites).complete(ROW_REVISION);
+    time.run(300);
+  }
+
+  private void recordAnswers(boolean isNewVersion, Answer.Kind kind, int count) {
+    for (int i = 0; i < count; i++) {
+      rollout().recordPlacement(isNewVersion, true);
+      rollout().recordAnswer(isNewVersion, new Answer("r", kind, 50, 1, false), time.nowMs());
+    }
+  }
+
+  private RolloutStatus lastWritten() {
+    return store.writtenStatuses.get(store.writtenStatuses.size() - 1);
+  }
+
+  /** Guards against calls that services without an order would cost. */
+  @Test
+  void shouldNotCallTheStoreWithoutAnOrder() {
+    order();
+    time.run(30_000);
+    assertThat(store.callCount()).isZero();
+    assertThat(controller.find("s")).isEmpty();
+  }
+
+  /** Guards against a new version that is used before the status is known and written. */
+  @Test
+  void shouldWriteRunningBeforeTheNewVersionIsUsed() {
+    order(ORDER);
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    answerRead(Optional.empty(), 0);
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    assertThat(store.writtenOverRevisions).containsExactly(0L);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.RUNNING);
+    assertThat(lastWritten().startedAtMs()).isBetween(STORE_NOW_MS - 100, STORE_NOW_MS + 100);
+    last(store.rolloutWrites).complete(ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
+  }
+
+  @Test
+  void shouldWriteSuccessOverTheRowThatItReadWhenTheVersionIsGood() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 900);
+    recordAnswers(true, Answer.Kind.RESPONSE, 80);
+    for (int second = 0; second < 36; second++) {
+      time.run(1_000);
+      answerPendingRead(RolloutState.RUNNING);
+    }
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.SUCCEEDED);
+    assertThat(store.writtenOverRevisions).containsExactly(0L, ROW_REVISION);
+  }
+
+  private void answerPendingRead(RolloutState state) {
+    if (!last(store.rolloutReads).isDone()) {
+      answerRead(Optional.of(status(state, 7, STORE_NOW_MS)), ROW_REVISION);
+    }
+  }
+
+  /** Guards against a verdict that is lost, or not acted on, because the store is away. */
+  @Test
+  void shouldRollBackAtOnceAndRetryTheWriteWhileTheStoreFails() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 200);
+    recordAnswers(true, Answer.Kind.FAILURE, 8);
+    assertThat(rollout().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    time.run(200);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    last(store.rolloutWrites).completeExceptionally(FakeStore.failure(StoreException.Kind.UNKNOWN));
+    for (int i = 0; i < 5; i++) {
+      time.run(2_200);
+      last(store.rolloutReads)
+          .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    }
+    assertThat(rollout().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    time.run(2_200);
+    int writes = store.rolloutWrites.size();
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), ROW_REVISION);
+    assertThat(store.rolloutWrites).hasSize(writes + 1);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    last(store.rolloutWrites).complete(10L);
+    int calls = (int) store.callCount();
+    time.run(60_000);
+    assertThat((int) store.callCount()).isEqualTo(calls);
+  }
+
+  /** Guards against a new scheduler that gives the version its whole duration again. */
+  @Test
+  void shouldCountTheTimeThatTheStatusNamesWhenTakingOver() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
+    assertThat(rollout().elapsedMs(time.nowMs())).isBetween(25_000L, 26_000L);
+    assertThat(store.rolloutWrites).isEmpty();
+  }
+
+  /** Guards against a restarted host that starts a finished roll-out again. */
+  @Test
+  void shouldKeepTheVerdictOfTheStoreWhenTakingOver() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    time.run(30_000);
+    assertThat(store.callCount()).isEqualTo(1);
+  }
+
+  /** Guards against two schedulers of which each follows its own verdict. */
+  @Test
+  void shouldTakeOverTheVerdictThatAnotherHostWroteMeanwhile() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 200);
+    recordAnswers(true, Answer.Kind.FAILURE, 8);
+    time.run(200);
+    last(store.rolloutWrites)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    time.run(400);
+    answerRead(Optional.of(status(RolloutState.SUCCEEDED, 7, 0)), 11);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against an old verdict that applies to a later order of the same version. */
+  @Test
+  void shouldStartOverWhenTheSameVersionIsOrderedAgainAfterARollBack() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    order(new RolloutOrder("s", "v2", 40_000, 12));
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    time.run(1_000);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    assertThat(lastWritten()).satisfies(s -> assertThat(s.orderRevision()).isEqualTo(12));
+    assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
+    last(store.rolloutWrites).complete(13L);
+    assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
+  }
+
+  /**
+   * Guards against a host with an old configuration that overwrites the status of a later order.
+   */
+  @Test
+  void shouldNotReplaceTheStatusOfALaterOrder() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 12, 0)), ROW_REVISION);
+    time.run(5_000);
+    assertThat(store.rolloutWrites).isEmpty();
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+  }
+
+  /** Guards against a host that keeps to use the new version after another took over. */
+  @Test
+  void shouldStopUsingTheNewVersionWhenAnotherHostBecomesTheScheduler() {
+    start();
+    assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
+    scheduler = false;
+    time.run(300);
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    int calls = (int) store.callCount();
+    time.run(10_000);
+    assertThat((int) store.callCount()).isEqualTo(calls);
+  }
+
+  /** Guards against a host that decides alone and does not learn that the old version stops. */
+  @Test
+  void shouldReadTheVerdictOnOtherHostsWhileTheyPlaceRequests() {
+    scheduler = false;
+    order(ORDER);
+    time.run(5_000);
+    assertThat(store.callCount()).isZero();
+    controller.recordUse("s");
+    time.run(300);
+    answerRead(Optional.of(status(RolloutState.SUCCEEDED, 7, 0)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against a verdict that is gone after the store lost it. */
+  @Test
+  void shouldWriteTheVerdictAgainWhenTheStoreHasLostIt() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    controller.reread();
+    time.run(1_500);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), 5);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
+    assertThat(store.writtenOverRevisions).containsExactly(5L);
+  }
+
+  @Test
+  void shouldLogEachStep() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 200);
+    recordAnswers(true, Answer.Kind.FAILURE, 8);
+    time.run(200);
+    log.flush();
+    assertThat(output.toString(StandardCharsets.UTF_8))
+        .contains("state=running")
+        .contains("state=rolled_back why=bad_answers")
+        .contains("bad_new=8");
+  }
+}
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutState.java
+++ b/model/src/main/java/dev/cactusstack/model/site/RolloutState.java
@@ -1,4 +1,4 @@
-package dev.cactusstack.decisions.rollouts;
+package dev.cactusstack.model.site;
 
 import java.util.Locale;
 import java.util.Optional;
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutStatus.java
+++ b/model/src/main/java/dev/cactusstack/model/site/RolloutStatus.java
@@ -1,6 +1,5 @@
-package dev.cactusstack.decisions.rollouts;
+package dev.cactusstack.model.site;
 
-import dev.cactusstack.model.site.RolloutOrder;
 import java.util.Objects;
 
 /**
