--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import dev.cactusstack.gateway.control.ConfigurationContact;
 import dev.cactusstack.gateway.control.ConfigurationController;
 import dev.cactusstack.gateway.control.HostsController;
+import dev.cactusstack.gateway.control.RolloutController;
 import dev.cactusstack.gateway.control.UpstreamsController;
 import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
@@ -75,6 +76,7 @@
   private final ConfigurationController configuration;
   private final UpstreamsController upstreams;
   private final HostsController hosts;
+  private final RolloutController rollouts;
   private final PeerTable peers;
   private final Link link;
   private final PlacementClient placement;
@@ -176,6 +178,15 @@
             clock);
     var noticeReader = new NoticeReader(clock, log, upstreamHeaders);
     var prober = new UpstreamProber(client, upstreamHeaders, noticeReader);
+    var limitShares = new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts);
+    this.rollouts =
+        new RolloutController(
+            loop,
+            clock,
+            log,
+            store,
+            configuration::activeConfiguration,
+            service -> limitShares.isFirst(service, clock.getAsLong()));
     var schedulers =
         new LocalSchedulers(
             loop,
@@ -184,10 +195,11 @@
             schedulerSettings,
             upstreams,
             prober,
-            new LimitShares(peers, PeerTable.hash(settings.host()), hosts::knowsHosts),
+            limitShares,
             () -> peers.isStoreConfirmed(clock.getAsLong()),
             random,
             PeerTable.hash(settings.host()));
+    schedulers.useRollouts(rollouts);
     this.placement =
         new PlacementClient(
             loop,
@@ -232,6 +244,7 @@
     this.directory = createPort(List.of(siteEndpoints.directory()));
     this.metrics = createPort(List.of(new MetricsHandler(gatewayMetrics)));
     registerCounters(gatewayMetrics, store, prober, noticeReader.notices());
+    rollouts.registerCounters(gatewayMetrics);
   }
 
   private void registerCounters(
@@ -332,6 +345,7 @@
   }
 
   private void onConfigurationChanged() {
+    rollouts.onConfigurationChanged();
     upstreams.onConfigurationChanged();
     quotaOwners.onConfigurationChanged();
   }
@@ -342,6 +356,7 @@
     configuration.onStoreRestored();
     upstreams.onStoreRestored();
     hosts.onStoreRestored(era);
+    rollouts.reread();
   }
 
   private static void failOnError(
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
@@ -33,4 +33,15 @@
     return LimitShare.of(
         standing.rank(), standing.firstForMs(), standing.usableHosts(), standing.knownHosts());
   }
+
+  /**
+   * Checks whether this host is the first in the ranking of a service.
+   *
+   * @param service the service's name
+   * @param nowMs the current time on a monotonic clock, in milliseconds
+   * @return false also while it does not know the other hosts
+   */
+  public boolean isFirst(String service, long nowMs) {
+    return standings.look(service, nowMs).isFirst();
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/SiteStore.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.site;
 
 import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
@@ -72,6 +73,25 @@
    */
   default void onRestored(LongConsumer listener) {}
 
+  /**
+   * Reads the status of a service's roll-out.
+   *
+   * @param service the service's name
+   * @return the row, which may not exist
+   */
+  CompletableFuture<RolloutRow> readRolloutStatus(String service);
+
+  /**
+   * Writes the status of a service's roll-out if its row has not changed.
+   *
+   * @param service the service's name
+   * @param status the status
+   * @param expectedRevision the revision of the row that was read, 0 if there was none
+   * @return the new revision of the row
+   */
+  CompletableFuture<Long> writeRolloutStatus(
+      String service, RolloutStatus status, long expectedRevision);
+
   /**
    * Returns the number of calls made so far.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/FakeStore.java
@@ -1,10 +1,12 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.gateway.site.ConfigurationChange;
+import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.gateway.site.UpstreamChange;
 import dev.cactusstack.model.site.HostRegistration;
+import dev.cactusstack.model.site.RolloutStatus;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +20,10 @@
   final List<Long> watchedRevisions = new ArrayList<>();
   final List<CompletableFuture<UpstreamChange>> upstreamReads = new ArrayList<>();
   final List<Long> upstreamReadRevisions = new ArrayList<>();
+  final List<CompletableFuture<RolloutRow>> rolloutReads = new ArrayList<>();
+  final List<CompletableFuture<Long>> rolloutWrites = new ArrayList<>();
+  final List<RolloutStatus> writtenStatuses = new ArrayList<>();
+  final List<Long> writtenOverRevisions = new ArrayList<>();
 
   /** The registrations that hosts wrote, in order. */
   final List<HostRegistration> registrations = new ArrayList<>();
@@ -85,9 +91,26 @@
     restoreListener.accept(era);
   }
 
+  @Override
+  public CompletableFuture<RolloutRow> readRolloutStatus(String service) {
+    return addPending(rolloutReads);
+  }
+
+  @Override
+  public CompletableFuture<Long> writeRolloutStatus(
+      String service, RolloutStatus status, long expectedRevision) {
+    writtenStatuses.add(status);
+    writtenOverRevisions.add(expectedRevision);
+    return addPending(rolloutWrites);
+  }
+
   @Override
   public long callCount() {
-    return configurationReads.size() + configurationWatches.size() + upstreamReads.size();
+    return configurationReads.size()
+        + configurationWatches.size()
+        + upstreamReads.size()
+        + rolloutReads.size()
+        + rolloutWrites.size();
   }
 
   @Override
