Roll-outs: a host schedules only while it hears of most hosts

A host that lost its links but reached the store was the first in its own view, got no answers and wrote rolled_back (too_few_answers) over the roll-out of the others. A task now acts as the scheduler only if the host also hears of more than half of the hosts that were usable lately; otherwise it stays unread.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -186,7 +186,7 @@
             log,
             store,
             configuration::activeConfiguration,
-            service -> limitShares.isFirst(service, clock.getAsLong()));
+            service -> limitShares.isLeading(service, clock.getAsLong()));
     var schedulers =
         new LocalSchedulers(
             loop,
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
@@ -45,7 +45,8 @@
    * @param log logs the steps of roll-outs
    * @param store the store that keeps their status
    * @param configuration supplies the configuration in force
-   * @param isScheduler whether this host is the first in the ranking of a service
+   * @param isScheduler whether this host is the first in the ranking of a service and hears of
+   *     most hosts
    */
   public RolloutController(
       EventLoop loop,
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -80,7 +80,8 @@
   /**
    * Advances the roll-out and calls the store if needed.
    *
-   * @param isScheduler whether this host is the first in the service's ranking
+   * @param isScheduler whether this host is the first in the service's ranking and hears of most
+   *     hosts
    */
   void tick(boolean isScheduler) {
     long now = clock.getAsLong();
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
@@ -35,13 +35,14 @@
   }
 
   /**
-   * Checks whether this host is the first in the ranking of a service.
+   * Checks whether this host is the first in the ranking of a service and hears of more than half
+   * of the hosts. A host without links to the others is the first in its own view only.
    *
    * @param service the service's name
    * @param nowMs the current time on a monotonic clock, in milliseconds
    * @return false also while it does not know the other hosts
    */
-  public boolean isFirst(String service, long nowMs) {
-    return standings.look(service, nowMs).isFirst();
+  public boolean isLeading(String service, long nowMs) {
+    return standings.look(service, nowMs).isLeading();
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
@@ -149,6 +149,11 @@
       return rank == FIRST;
     }
 
+    /** Checks whether it is the first and hears of more than half of the hosts. */
+    boolean isLeading() {
+      return isFirst() && isMost(usableHosts, knownHosts);
+    }
+
     long firstForMs() {
       return atMs - firstSinceMs;
     }
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LimitSharesTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LimitSharesTest.java
@@ -140,4 +140,29 @@
     assertThat(shareAfter(20_000, shares, peers, ranking)).isEqualTo(1);
     assertThat(shareAfter(10_000, shares, peers, List.of(self, ranking.get(1)))).isEqualTo(0.1);
   }
+
+  /** Guards against a host without links that judges a roll-out by its few own answers. */
+  @Test
+  void shouldLeadOnlyWhileTheHostHearsOfMostHosts() {
+    String self = ranking.get(0);
+    PeerTable peers = tableOf(self);
+    LimitShares shares = sharesOf(self, peers);
+    shareAfter(20_000, shares, peers, ranking);
+    assertThat(shares.isLeading(SERVICE, nowMs)).isTrue();
+    shareAfter(10_000, shares, peers, List.of(self));
+    assertThat(shares.isLeading(SERVICE, nowMs)).isFalse();
+    shareAfter(1_000, shares, peers, ranking);
+    assertThat(shares.isLeading(SERVICE, nowMs)).isTrue();
+  }
+
+  /** Guards against two halves of the hosts that both judge a roll-out. */
+  @Test
+  void shouldNotLeadWhenTheHostHearsOfHalfOfTheHosts() {
+    String self = ranking.get(2);
+    PeerTable peers = tableOf(self);
+    LimitShares shares = sharesOf(self, peers);
+    shareAfter(20_000, shares, peers, ranking);
+    shareAfter(10_000, shares, peers, List.of(self, ranking.get(3)));
+    assertThat(shares.isLeading(SERVICE, nowMs)).isFalse();
+  }
 }
