Roll-outs: a paused scheduler does not overrule its successor

A scheduler that was paused while promoting wrote succeeded as soon as it went on, because the pause counted as promotion and its successor had not changed the row. A successor now writes running once when it takes over, a success that was never written is discarded if the row was changed meanwhile, and the promotion starts again after a gap of more than 1 s. The test of a takeover expected no write; it now expects exactly one that keeps the start. The test of open placements advances every 100 ms, as hosts do.

--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -22,6 +22,13 @@
   private static final long MIN_PROMOTION_MS = 1_500;
 
   private static final long MAX_PROMOTION_MS = 2_000;
+
+  /**
+   * Longest time between two calls of {@link #advance} that counts as promotion. A host that was
+   * paused for longer may have been taken for dead, and others may place on the old version.
+   */
+  private static final long MAX_PROMOTION_GAP_MS = 1_000;
+
   private static final long NEVER = Long.MIN_VALUE;
 
   private final RolloutOrder order;
@@ -32,6 +39,7 @@
   private String reason = "";
   private long orderedAtMs = NEVER;
   private long promotedAtMs;
+  private long advancedAtMs;
   private int openOldPlacements;
 
   /**
@@ -98,8 +106,8 @@
   }
 
   /**
-   * Discards a success that could not be written before another host became the scheduler. The
-   * other host concludes anew from the status in the store.
+   * Discards a success that could not be written before another host became the scheduler or
+   * changed the status. The other host concludes anew from the status in the store.
    */
   public void discardSuccess() {
     if (state == RolloutState.SUCCEEDED) {
@@ -182,12 +190,16 @@
     if (state == RolloutState.RUNNING && elapsedMs(nowMs) >= schedule.conclusionAtMs()) {
       conclude(nowMs);
     } else if (state == RolloutState.PROMOTING) {
+      if (nowMs - advancedAtMs > MAX_PROMOTION_GAP_MS) {
+        promotedAtMs = nowMs;
+      }
       long promotingMs = nowMs - promotedAtMs;
       boolean ended = openOldPlacements <= 0 && promotingMs >= MIN_PROMOTION_MS;
       if (ended || promotingMs >= MAX_PROMOTION_MS) {
         changeTo(RolloutState.SUCCEEDED, "good");
       }
     }
+    advancedAtMs = nowMs;
   }
 
   private void conclude(long nowMs) {
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerRolloutTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerRolloutTest.java
@@ -179,8 +179,10 @@
     rollout.advance(34_000);
     assertThat(rollout.state()).isEqualTo(RolloutState.PROMOTING);
     assertThat(placeMany(20, false)).containsOnly("new");
-    rollout.advance(35_900);
-    assertThat(rollout.state()).isEqualTo(RolloutState.PROMOTING);
+    for (long nowMs = 34_100; nowMs <= 35_900; nowMs += 100) {
+      rollout.advance(nowMs);
+      assertThat(rollout.state()).isEqualTo(RolloutState.PROMOTING);
+    }
     end(open, 35_950);
     rollout.advance(35_950);
     assertThat(rollout.state()).isEqualTo(RolloutState.SUCCEEDED);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -18,7 +18,9 @@
  *
  * <p>Invariants: a status is written only over the revision of the row that was read last. The new
  * version gets nothing until the status was read and, if there was none, written. A verdict of the
- * store takes precedence over one of this host that was not written. Confined to the event loop.
+ * store takes precedence over one of this host that was not written. A success that was never
+ * written is discarded if another host changed the row, because that host places on the old
+ * version. Confined to the event loop.
  */
 final class RolloutTask {
   /** A host that was taken for dead may go on, so the scheduler looks for another's verdict. */
@@ -31,13 +33,21 @@
   private static final long PROGRESS_LOG_INTERVAL_MS = 5_000;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Value of a row's revision that this host can't compare, as after a restore of the store. */
+  private static final long UNKNOWN_REVISION = -1;
+
   private final LongSupplier clock;
   private final EventLog log;
   private final SiteStore store;
   private final Rollout rollout;
   private final long learnedAtMs;
+
+  /** The time of the order on this host's clock, as far as it is known. */
+  private long orderedAtMs;
+
   private @Nullable RolloutStatus stored;
-  private long rowRevision;
+  private long rowRevision = UNKNOWN_REVISION;
+  private boolean verdictStored;
   private long startedAtMs = RolloutRow.UNNAMED;
   private boolean rowKnown;
   private boolean callPending;
@@ -55,6 +65,7 @@
     this.store = store;
     this.rollout = new Rollout(order);
     this.learnedAtMs = clock.getAsLong();
+    this.orderedAtMs = learnedAtMs;
   }
 
   Rollout rollout() {
@@ -74,6 +85,7 @@
   void reread() {
     stored = null;
     rowKnown = false;
+    rowRevision = UNKNOWN_REVISION;
     nextCallAtMs = NEVER;
   }
 
@@ -156,16 +168,21 @@
   private void onRead(RolloutRow row) {
     long now = clock.getAsLong();
     lastReadAtMs = now;
+    boolean changedByOther =
+        rowRevision != UNKNOWN_REVISION && row.revision() != rowRevision && !verdictStored;
     rowRevision = row.revision();
     rowKnown = true;
     Optional<RolloutStatus> found = row.statusOf(rollout.order());
     stored = found.orElse(null);
     if (found.isPresent()) {
       retryDelayMs = RETRY_MS;
-      rollout.adopt(found.get().state(), elapsedMs(found.get(), row, now), scheduler, now);
+      adoptRead(found.get(), row, changedByOther, now);
       logStep(now);
       return;
     }
+    if (changedByOther) {
+      rollout.discardSuccess();
+    }
     if (row.isOfLaterOrder(rollout.order())) {
       // This host has not learned of the later order yet.
       rowKnown = false;
@@ -180,11 +197,33 @@
     }
   }
 
+  private void adoptRead(
+      RolloutStatus status, RolloutRow row, boolean changedByOther, long now) {
+    long elapsedMs = elapsedMs(status, row, now);
+    if (status.state().isVerdict()) {
+      verdictStored = true;
+      rollout.adopt(status.state(), elapsedMs, scheduler, now);
+      return;
+    }
+    if (changedByOther) {
+      // The other host has taken over, and may place on the old version.
+      rollout.discardSuccess();
+      rollout.suspend();
+    }
+    if (scheduler && rollout.state() == RolloutState.UNREAD) {
+      // Changes the row, so that the predecessor can't write a success any more.
+      write(RolloutState.RUNNING);
+    }
+  }
+
   private long elapsedMs(RolloutStatus status, RolloutRow row, long now) {
-    startedAtMs = status.startedAtMs();
-    long byStoreMs =
-        status.startedAtMs() == RolloutRow.UNNAMED ? 0 : row.storeNowMs() - status.startedAtMs();
-    return Math.max(byStoreMs, now - learnedAtMs);
+    if (status.startedAtMs() == RolloutRow.UNNAMED) {
+      startedAtMs = row.storeNowMs() - (now - orderedAtMs);
+    } else {
+      startedAtMs = status.startedAtMs();
+      orderedAtMs = Math.min(orderedAtMs, now - (row.storeNowMs() - startedAtMs));
+    }
+    return now - orderedAtMs;
   }
 
   private void write(RolloutState state) {
@@ -209,7 +248,8 @@
     retryDelayMs = RETRY_MS;
     stored = status;
     rowRevision = revision;
-    rollout.adopt(status.state(), now - learnedAtMs, scheduler, now);
+    verdictStored = status.state().isVerdict();
+    rollout.adopt(status.state(), now - orderedAtMs, scheduler, now);
     event("rollout_written").with("written", status.state().label()).write();
     logStep(now);
   }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -162,9 +162,16 @@
   void shouldCountTheTimeThatTheStatusNamesWhenTakingOver() {
     order(ORDER);
     answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000)), ROW_REVISION);
+    // The row is rewritten once, so that the predecessor can't write over it any more.
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
+    assertThat(lastWritten())
+        .isEqualTo(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000));
+    last(store.rolloutWrites).complete(ROW_REVISION + 1);
     assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
     assertThat(rollout().elapsedMs(time.nowMs())).isBetween(25_000L, 26_000L);
-    assertThat(store.rolloutWrites).isEmpty();
+    time.run(300);
+    assertThat(store.rolloutWrites).hasSize(1);
   }
 
   /** Guards against a restarted host that starts a finished roll-out again. */
@@ -268,4 +275,42 @@
         .contains("state=rolled_back why=bad_answers")
         .contains("bad_new=8");
   }
+
+  private void promote() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 900);
+    recordAnswers(true, Answer.Kind.RESPONSE, 80);
+    for (int i = 0; i < 400 && rollout().state() != RolloutState.SUCCEEDED; i++) {
+      time.run(100);
+      answerPendingRead(RolloutState.RUNNING);
+    }
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against a success that stops the old servers while a successor still uses them. */
+  @Test
+  void shouldDiscardAnUnwrittenSuccessWhenAnotherHostChangedTheRow() {
+    promote();
+    last(store.rolloutWrites)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    time.run(400);
+    int writes = store.rolloutWrites.size();
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), ROW_REVISION + 1);
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    assertThat(store.rolloutWrites).hasSize(writes + 1);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.RUNNING);
+  }
+
+  /** Guards against a success that is given up because the store was away for a moment. */
+  @Test
+  void shouldWriteTheSuccessAgainWhenNobodyChangedTheRow() {
+    promote();
+    last(store.rolloutWrites)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    time.run(400);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+    time.run(300);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
 }
