Roll-outs: a status of an earlier era of the store does not block a new order

After a restore a new order may have a lower revision than the one that the status row names. Such a row was taken for that of a later order, never replaced and read every 250 ms. The wait is now bounded by 3 s. After a restore nothing is written until the configuration of the new era is in force, for at most 5 s.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -356,7 +356,7 @@
     configuration.onStoreRestored();
     upstreams.onStoreRestored();
     hosts.onStoreRestored(era);
-    rollouts.reread();
+    rollouts.reread(era);
   }
 
   private static void failOnError(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.rollouts.Rollout;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
@@ -27,6 +28,9 @@
   private static final long TICK_INTERVAL_MS = 100;
   private static final long SETTLED_TICK_INTERVAL_MS = 1_000;
 
+  /** Longest time after a restore of the store to wait for the configuration of its new era. */
+  private static final long CONFIGURATION_WAIT_MS = 5_000;
+
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
@@ -36,6 +40,8 @@
   private final Map<String, RolloutTask> tasks = new HashMap<>();
   private RolloutTotals endedTotals = RolloutTotals.NONE;
   private boolean tickScheduled;
+  private long restoredEra;
+  private long restoredAtMs;
 
   /**
    * Creates a controller that knows no orders.
@@ -80,17 +86,31 @@
             });
     orders.forEach(
         (service, order) ->
-            tasks.computeIfAbsent(service, name -> new RolloutTask(clock, log, store, order)));
+            tasks.computeIfAbsent(service, name -> new RolloutTask(clock, log, store, this::isConfigurationRead, order)));
     if (!tasks.isEmpty()) {
       tick();
     }
   }
 
-  /** Reads all statuses again, because the store may have lost some. */
-  public void reread() {
+  /**
+   * Reads all statuses again, because the store may have lost some. Nothing is read or written
+   * until the configuration of the new era is in force, because the restored store may have other
+   * orders, or for {@value #CONFIGURATION_WAIT_MS} ms.
+   *
+   * @param era the store's new era
+   */
+  public void reread(long era) {
+    restoredEra = era;
+    restoredAtMs = clock.getAsLong();
     tasks.values().forEach(RolloutTask::reread);
   }
 
+  private boolean isConfigurationRead() {
+    long revision = configuration.get().map(SiteConfiguration::revision).orElse(0L);
+    return StoreRevision.eraOf(revision) >= restoredEra
+        || clock.getAsLong() - restoredAtMs >= CONFIGURATION_WAIT_MS;
+  }
+
   @Override
   public Optional<Rollout> find(String service) {
     return Optional.ofNullable(tasks.get(service)).map(RolloutTask::rollout);
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -10,6 +10,7 @@
 import dev.cactusstack.model.site.RolloutState;
 import dev.cactusstack.model.site.RolloutStatus;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +32,13 @@
   private static final long RETRY_MS = 250;
   private static final long MAX_RETRY_MS = 2_000;
   private static final long PROGRESS_LOG_INTERVAL_MS = 5_000;
+
+  /**
+   * Time for the later order that a row names to reach this host. After a restore of the store
+   * revisions are given out again, and a row of the earlier era may name a later order for good.
+   */
+  private static final long LATER_ORDER_WAIT_MS = 3_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Value of a row's revision that this host can't compare, as after a restore of the store. */
@@ -39,6 +47,7 @@
   private final LongSupplier clock;
   private final EventLog log;
   private final SiteStore store;
+  private final BooleanSupplier configurationRead;
   private final Rollout rollout;
   private final long learnedAtMs;
 
@@ -57,12 +66,28 @@
   private long lastReadAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
   private long loggedAtMs = NEVER;
+  private long laterOrderSinceMs = NEVER;
   private RolloutState loggedState = RolloutState.UNREAD;
 
-  RolloutTask(LongSupplier clock, EventLog log, SiteStore store, RolloutOrder order) {
+  /**
+   * Creates a task.
+   *
+   * @param clock a monotonic clock, in milliseconds
+   * @param log logs the steps
+   * @param store the store that keeps the status
+   * @param configurationRead whether the order was read since the last restore of the store
+   * @param order the operators' order
+   */
+  RolloutTask(
+      LongSupplier clock,
+      EventLog log,
+      SiteStore store,
+      BooleanSupplier configurationRead,
+      RolloutOrder order) {
     this.clock = clock;
     this.log = log;
     this.store = store;
+    this.configurationRead = configurationRead;
     this.rollout = new Rollout(order);
     this.learnedAtMs = clock.getAsLong();
     this.orderedAtMs = learnedAtMs;
@@ -86,6 +111,7 @@
     stored = null;
     rowKnown = false;
     rowRevision = UNKNOWN_REVISION;
+    laterOrderSinceMs = NEVER;
     nextCallAtMs = NEVER;
   }
 
@@ -105,7 +131,7 @@
       rollout.advance(now);
     }
     logStep(now);
-    if (!callPending && now >= nextCallAtMs) {
+    if (!callPending && now >= nextCallAtMs && configurationRead.getAsBoolean()) {
       callStore(now);
     }
   }
@@ -175,6 +201,7 @@
     Optional<RolloutStatus> found = row.statusOf(rollout.order());
     stored = found.orElse(null);
     if (found.isPresent()) {
+      laterOrderSinceMs = NEVER;
       retryDelayMs = RETRY_MS;
       adoptRead(found.get(), row, changedByOther, now);
       logStep(now);
@@ -183,8 +210,7 @@
     if (changedByOther) {
       rollout.discardSuccess();
     }
-    if (row.isOfLaterOrder(rollout.order())) {
-      // This host has not learned of the later order yet.
+    if (row.isOfLaterOrder(rollout.order()) && isLaterOrderAwaited(now)) {
       rowKnown = false;
       nextCallAtMs = now + RETRY_MS;
       return;
@@ -197,6 +223,13 @@
     }
   }
 
+  private boolean isLaterOrderAwaited(long now) {
+    if (laterOrderSinceMs == NEVER) {
+      laterOrderSinceMs = now;
+    }
+    return now - laterOrderSinceMs < LATER_ORDER_WAIT_MS;
+  }
+
   private void adoptRead(
       RolloutStatus status, RolloutRow row, boolean changedByOther, long now) {
     long elapsedMs = elapsedMs(status, row, now);
@@ -227,6 +260,11 @@
   }
 
   private void write(RolloutState state) {
+    if (!configurationRead.getAsBoolean()) {
+      // The restored store may have another order.
+      rowKnown = false;
+      return;
+    }
     callPending = true;
     RolloutOrder order = rollout.order();
     var status = new RolloutStatus(state, order.version(), order.revision(), startedAtMs);
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.rollouts.Answer;
 import dev.cactusstack.decisions.rollouts.Rollout;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -39,6 +40,10 @@
           time.loop(), time::nowMs, log, store, () -> configuration, service -> scheduler);
 
   private void order(RolloutOrder... orders) {
+    order(1, orders);
+  }
+
+  private void order(long revision, RolloutOrder... orders) {
     Map<String, RolloutOrder> rollouts = new HashMap<>();
     for (RolloutOrder order : orders) {
       rollouts.put(order.service(), order);
@@ -46,7 +51,7 @@
     configuration =
         Optional.of(
             new SiteConfiguration(
-                1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), Map.of(), rollouts));
+                revision, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), Map.of(), rollouts));
     controller.onConfigurationChanged();
     time.run(20);
   }
@@ -256,7 +261,7 @@
   void shouldWriteTheVerdictAgainWhenTheStoreHasLostIt() {
     order(ORDER);
     answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
-    controller.reread();
+    controller.reread(0);
     time.run(1_500);
     answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), 5);
     assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
@@ -313,4 +318,45 @@
     time.run(300);
     assertThat(lastWritten().state()).isEqualTo(RolloutState.SUCCEEDED);
   }
+
+  /** Guards against an order after a restore that never starts, as the row names a higher one. */
+  @Test
+  void shouldReplaceTheStatusOfALaterOrderThatDoesNotArrive() {
+    order(ORDER);
+    for (int i = 0; i < 8; i++) {
+      answerRead(Optional.of(status(RolloutState.RUNNING, 12, 0)), ROW_REVISION);
+      assertThat(store.rolloutWrites).isEmpty();
+    }
+    for (int i = 0; i < 8 && store.rolloutWrites.isEmpty(); i++) {
+      answerRead(Optional.of(status(RolloutState.RUNNING, 12, 0)), ROW_REVISION);
+    }
+    assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
+    assertThat(lastWritten().orderRevision()).isEqualTo(ORDER.revision());
+  }
+
+  /** Guards against a status of an order that the restored store does not have. */
+  @Test
+  void shouldNotWriteAfterARestoreBeforeTheConfigurationWasRead() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    controller.reread(1);
+    time.run(3_000);
+    assertThat(store.callCount()).isEqualTo(1);
+    order(StoreRevision.of(1, 5), ORDER);
+    time.run(1_500);
+    answerRead(Optional.empty(), 0);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
+  }
+
+  /** Guards against an answer that was on its way when the restore became known. */
+  @Test
+  void shouldNotWriteForAReadThatEndsBeforeTheConfigurationWasRead() {
+    order(ORDER);
+    controller.reread(1);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).isEmpty();
+    time.run(6_000);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).hasSize(1);
+  }
 }
