Roll-outs: regaining the role of the scheduler does not postpone the conclusion

A host that lost the first rank and regained it late collected answers for another 3 s, also beyond the deadline. It now keeps the time at which it first took part.

--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -92,8 +92,10 @@
     if (stored.isVerdict()) {
       changeTo(stored, "stored");
     } else if (isScheduler && state == RolloutState.UNREAD) {
+      // Regaining the role does not start the collection of answers again.
+      long joinedAtMs = orderedAtMs == NEVER ? elapsedMs : schedule.joinedAtMs();
       orderedAtMs = nowMs - elapsedMs;
-      schedule = new RolloutSchedule(order.durationMs(), elapsedMs);
+      schedule = new RolloutSchedule(order.durationMs(), joinedAtMs);
       changeTo(RolloutState.RUNNING, "stored");
     }
   }
--- a/decisions/src/test/java/dev/cactusstack/decisions/rollouts/RolloutTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/rollouts/RolloutTest.java
@@ -41,4 +41,17 @@
     advanceBetween(37_500, 37_600);
     assertThat(rollout.state()).isEqualTo(RolloutState.SUCCEEDED);
   }
+
+  /** Guards against a conclusion after the deadline because the role was lost for a moment. */
+  @Test
+  void shouldKeepTheTimeOfTheConclusionWhenTheRoleIsRegained() {
+    rollout.adopt(RolloutState.RUNNING, 0, true, 0);
+    recordResponses(false, 100, 1_000);
+    advanceBetween(100, 34_000);
+    rollout.suspend();
+    rollout.adopt(RolloutState.RUNNING, 34_500, true, 34_500);
+    advanceBetween(34_600, 35_000);
+    assertThat(rollout.state()).isEqualTo(RolloutState.ROLLED_BACK);
+    assertThat(rollout.reason()).isEqualTo("too_few_answers");
+  }
 }
