Roll-outs: the start of the order outlasts the loss of its status row

A scheduler that had taken over wrote the time at which it learned of the order itself when the row was lost, so that later schedulers had more time than the order gives. It now keeps the earliest start that it knows.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -49,9 +49,7 @@
   private final SiteStore store;
   private final BooleanSupplier configurationRead;
   private final Rollout rollout;
-  private final long learnedAtMs;
-
-  /** The time of the order on this host's clock, as far as it is known. */
+  /** Earliest known time of the order on this host's clock; also outlasts a loss of the row. */
   private long orderedAtMs;
 
   private @Nullable RolloutStatus stored;
@@ -89,8 +87,7 @@
     this.store = store;
     this.configurationRead = configurationRead;
     this.rollout = new Rollout(order);
-    this.learnedAtMs = clock.getAsLong();
-    this.orderedAtMs = learnedAtMs;
+    this.orderedAtMs = clock.getAsLong();
   }
 
   Rollout rollout() {
@@ -215,7 +212,7 @@
       nextCallAtMs = now + RETRY_MS;
       return;
     }
-    startedAtMs = row.storeNowMs() - (now - learnedAtMs);
+    startedAtMs = row.storeNowMs() - (now - orderedAtMs);
     if (rollout.state().isVerdict()) {
       write(rollout.state());
     } else if (scheduler) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -359,4 +359,17 @@
     answerRead(Optional.empty(), 0);
     assertThat(store.rolloutWrites).hasSize(1);
   }
+
+  /** Guards against a roll-out that gets more time because the store lost its row. */
+  @Test
+  void shouldKeepTheStartWhenTheRowWasLost() {
+    order(ORDER);
+    long startedAtMs = STORE_NOW_MS - 25_000;
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, startedAtMs)), ROW_REVISION);
+    last(store.rolloutWrites).complete(ROW_REVISION + 1);
+    time.run(5_500);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).hasSize(2);
+    assertThat(lastWritten().startedAtMs()).isBetween(startedAtMs - 100, startedAtMs + 100);
+  }
 }
