--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
@@ -51,8 +51,8 @@
    * @param log logs the steps of roll-outs
    * @param store the store that keeps their status
    * @param configuration supplies the configuration in force
-   * @param isScheduler whether this host is the first in the ranking of a service and hears of
-   *     most hosts
+   * @param isScheduler whether this host is the first in the ranking of a service and hears of most
+   *     hosts
    */
   public RolloutController(
       EventLoop loop,
@@ -86,7 +86,9 @@
             });
     orders.forEach(
         (service, order) ->
-            tasks.computeIfAbsent(service, name -> new RolloutTask(clock, log, store, this::isConfigurationRead, order)));
+            tasks.computeIfAbsent(
+                service,
+                name -> new RolloutTask(clock, log, store, this::isConfigurationRead, order)));
     if (!tasks.isEmpty()) {
       tick();
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -49,6 +49,7 @@
   private final SiteStore store;
   private final BooleanSupplier configurationRead;
   private final Rollout rollout;
+
   /** Earliest known time of the order on this host's clock; also outlasts a loss of the row. */
   private long orderedAtMs;
 
@@ -227,8 +228,7 @@
     return now - laterOrderSinceMs < LATER_ORDER_WAIT_MS;
   }
 
-  private void adoptRead(
-      RolloutStatus status, RolloutRow row, boolean changedByOther, long now) {
+  private void adoptRead(RolloutStatus status, RolloutRow row, boolean changedByOther, long now) {
     long elapsedMs = elapsedMs(status, row, now);
     if (status.state().isVerdict()) {
       verdictStored = true;
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -51,7 +51,14 @@
     configuration =
         Optional.of(
             new SiteConfiguration(
-                revision, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), Map.of(), rollouts));
+                revision,
+                1,
+                List.of(),
+                Map.of(),
+                CallerLimits.DEFAULT,
+                Set.of(),
+                Map.of(),
+                rollouts));
     controller.onConfigurationChanged();
     time.run(20);
   }
@@ -170,8 +177,7 @@
     // The row is rewritten once, so that the predecessor can't write over it any more.
     assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
     assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
-    assertThat(lastWritten())
-        .isEqualTo(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000));
+    assertThat(lastWritten()).isEqualTo(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000));
     last(store.rolloutWrites).complete(ROW_REVISION + 1);
     assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
     assertThat(rollout().elapsedMs(time.nowMs())).isBetween(25_000L, 26_000L);
