--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -1,7 +1,6 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.rollouts.Rollout;
-import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
@@ -31,7 +30,6 @@
   private static final long USE_MEMORY_MS = 1_000;
   private static final long RETRY_MS = 250;
   private static final long MAX_RETRY_MS = 2_000;
-  private static final long PROGRESS_LOG_INTERVAL_MS = 5_000;
 
   /**
    * Time for the later order that a row names to reach this host. After a restore of the store
@@ -45,10 +43,10 @@
   private static final long UNKNOWN_REVISION = -1;
 
   private final LongSupplier clock;
-  private final EventLog log;
   private final SiteStore store;
   private final BooleanSupplier configurationRead;
   private final Rollout rollout;
+  private final RolloutEvents events;
 
   /** Earliest known time of the order on this host's clock; also outlasts a loss of the row. */
   private long orderedAtMs;
@@ -64,9 +62,7 @@
   private long retryDelayMs = RETRY_MS;
   private long lastReadAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
-  private long loggedAtMs = NEVER;
   private long laterOrderSinceMs = NEVER;
-  private RolloutState loggedState = RolloutState.UNREAD;
 
   /**
    * Creates a task.
@@ -84,10 +80,10 @@
       BooleanSupplier configurationRead,
       RolloutOrder order) {
     this.clock = clock;
-    this.log = log;
     this.store = store;
     this.configurationRead = configurationRead;
     this.rollout = new Rollout(order);
+    this.events = new RolloutEvents(log, rollout);
     this.orderedAtMs = clock.getAsLong();
   }
 
@@ -128,7 +124,7 @@
     if (isScheduler) {
       rollout.advance(now);
     }
-    logStep(now);
+    events.logStep(now);
     if (!callPending && now >= nextCallAtMs && configurationRead.getAsBoolean()) {
       callStore(now);
     }
@@ -202,7 +198,7 @@
       laterOrderSinceMs = NEVER;
       retryDelayMs = RETRY_MS;
       adoptRead(found.get(), row, changedByOther, now);
-      logStep(now);
+      events.logStep(now);
       return;
     }
     if (changedByOther) {
@@ -285,48 +281,15 @@
     rowRevision = revision;
     verdictStored = status.state().isVerdict();
     rollout.adopt(status.state(), now - orderedAtMs, scheduler, now);
-    event("rollout_written").with("written", status.state().label()).write();
-    logStep(now);
+    events.logWritten(status);
+    events.logStep(now);
   }
 
   /** The row may have changed, or the write may have taken effect, so the row is read first. */
   private void onFailure(String call, StoreException failure) {
     rowKnown = false;
     nextCallAtMs = clock.getAsLong() + retryDelayMs;
-    event("rollout_store_failed")
-        .with("call", call)
-        .with("cause", String.valueOf(failure.getMessage()))
-        .with("retry_ms", retryDelayMs)
-        .write();
+    events.logFailure(call, failure, retryDelayMs);
     retryDelayMs = Math.min(MAX_RETRY_MS, retryDelayMs * 2);
   }
-
-  private void logStep(long now) {
-    boolean changed = rollout.state() != loggedState;
-    boolean progressDue =
-        rollout.state() == RolloutState.RUNNING && now - loggedAtMs >= PROGRESS_LOG_INTERVAL_MS;
-    if (!changed && !progressDue) {
-      return;
-    }
-    loggedState = rollout.state();
-    loggedAtMs = now;
-    event("rollout")
-        .with("why", changed ? rollout.reason() : "progress")
-        .with("since_order_ms", rollout.elapsedMs(now))
-        .with("placements", rollout.exposure().placements())
-        .with("placements_new", rollout.exposure().newPlacements())
-        .with("answers_old", rollout.judge().answers(false))
-        .with("bad_old", rollout.judge().badAnswers(false))
-        .with("answers_new", rollout.judge().answers(true))
-        .with("bad_new", rollout.judge().badAnswers(true))
-        .write();
-  }
-
-  private EventLine event(String name) {
-    return log.event(name)
-        .with("service", rollout.order().service())
-        .with("version", rollout.order().version())
-        .with("order", rollout.order().revision())
-        .with("state", rollout.state().label());
-  }
 }
