Roll-outs: a lost old upstream makes hosts read the verdict at once

A success stops the old servers while hosts that decide alone still place on them until their next read, up to 2 s later. The end of such a placement as unreachable or broken now makes the read due at once.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/RolloutPlacements.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/RolloutPlacements.java
@@ -75,6 +75,9 @@
     if (placement == null) {
       return;
     }
+    if (isConnectionLost(attempt.outcome())) {
+      placement.rollout.recordLostConnection(placement.isNewVersion, nowMs);
+    }
     Answer.Kind kind = kindOf(attempt.outcome());
     if (kind == null) {
       placement.rollout.recordEnd(placement.isNewVersion);
@@ -90,6 +93,10 @@
     placement.rollout.recordAnswer(placement.isNewVersion, answer, nowMs);
   }
 
+  private static boolean isConnectionLost(AttemptOutcome outcome) {
+    return outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.BROKEN;
+  }
+
   /** Returns how the end of an attempt counts; null if it says nothing about the version. */
   private static Answer.@Nullable Kind kindOf(AttemptOutcome outcome) {
     return switch (outcome) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -40,6 +40,7 @@
   private long orderedAtMs = NEVER;
   private long promotedAtMs;
   private long advancedAtMs;
+  private long oldUpstreamLostAtMs = NEVER;
   private int openOldPlacements;
 
   /**
@@ -183,6 +184,31 @@
     }
   }
 
+  /**
+   * Records that an upstream was unreachable or lost the connection.
+   *
+   * @param isNewVersion whether it has the new version
+   * @param nowMs the current time on the same clock
+   */
+  public void recordLostConnection(boolean isNewVersion, long nowMs) {
+    if (!isNewVersion && state == RolloutState.UNREAD) {
+      oldUpstreamLostAtMs = nowMs;
+    }
+  }
+
+  /**
+   * Checks whether an old upstream may have stopped because of a success that this host does not
+   * know.
+   *
+   * @param readAtMs when the last read of the status began, on the same clock
+   * @return true if the status was unread and an old upstream was lost since then
+   */
+  public boolean isVerdictSuspected(long readAtMs) {
+    return state == RolloutState.UNREAD
+        && oldUpstreamLostAtMs != NEVER
+        && oldUpstreamLostAtMs >= readAtMs;
+  }
+
   /**
    * Changes the state if it is time to.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerRolloutTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerRolloutTest.java
@@ -187,4 +187,19 @@
     rollout.advance(35_950);
     assertThat(rollout.state()).isEqualTo(RolloutState.SUCCEEDED);
   }
+
+  /** Guards against a host that takes stopped old upstreams for nothing unusual. */
+  @Test
+  void shouldSuspectAVerdictWhenAnOldUpstreamIsLostWhileTheStatusIsUnread() {
+    use(upstream("old", "v1"), upstream("new", "v2"));
+    for (AttemptOutcome outcome : List.of(AttemptOutcome.UNREACHABLE, AttemptOutcome.BROKEN)) {
+      long nowMs = 1_000 + outcome.ordinal();
+      var placed = (PlacementDecision.Placed) scheduler.submit(request(false), nowMs).get(0);
+      assertThat(rollout.isVerdictSuspected(nowMs)).isFalse();
+      scheduler.report(
+          new AttemptReport(placed.key(), placed.upstream().id(), outcome, 1, Optional.empty()),
+          nowMs);
+      assertThat(rollout.isVerdictSuspected(nowMs)).isTrue();
+    }
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -61,6 +61,7 @@
   private long nextCallAtMs = NEVER;
   private long retryDelayMs = RETRY_MS;
   private long lastReadAtMs = NEVER;
+  private long readStartedAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
   private long laterOrderSinceMs = NEVER;
 
@@ -163,21 +164,33 @@
     boolean due =
         scheduler
             ? rollout.state() == RolloutState.UNREAD || now - lastReadAtMs >= REFRESH_INTERVAL_MS
-            : now - lastUsedAtMs <= USE_MEMORY_MS
-                && now - lastReadAtMs >= OTHER_HOST_REFRESH_INTERVAL_MS;
+            : isReadDueOnOtherHost(now);
     if (due) {
       read();
     }
   }
 
+  private boolean isReadDueOnOtherHost(long now) {
+    long sinceReadMs = now - lastReadAtMs;
+    return rollout.isVerdictSuspected(readStartedAtMs)
+        ? sinceReadMs >= RETRY_MS
+        : isUsed(now) && sinceReadMs >= OTHER_HOST_REFRESH_INTERVAL_MS;
+  }
+
+  private boolean isUsed(long now) {
+    return now - lastUsedAtMs <= USE_MEMORY_MS;
+  }
+
   private void read() {
     callPending = true;
+    long startedAt = clock.getAsLong();
     store
         .readRolloutStatus(rollout.order().service())
         .whenComplete(
             (row, failure) -> {
               callPending = false;
               if (failure == null) {
+                readStartedAtMs = startedAt;
                 onRead(row);
               } else {
                 onFailure("read", StoreException.of(failure));
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -378,4 +378,38 @@
     assertThat(store.rolloutWrites).hasSize(2);
     assertThat(lastWritten().startedAtMs()).isBetween(startedAtMs - 100, startedAtMs + 100);
   }
+
+  /** Guards against requests that fail on old servers that stopped after the success. */
+  @Test
+  void shouldReadTheVerdictAtOnceWhenAnOldUpstreamIsLost() {
+    scheduler = false;
+    order(ORDER);
+    controller.recordUse("s");
+    time.run(300);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    controller.recordUse("s");
+    time.run(200);
+    assertThat(store.rolloutReads).hasSize(1);
+    rollout().recordLostConnection(false, time.nowMs());
+    time.run(200);
+    assertThat(store.rolloutReads).hasSize(2);
+    answerRead(Optional.of(status(RolloutState.SUCCEEDED, 7, 0)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against reads at each tick because of one lost upstream. */
+  @Test
+  void shouldReadTheVerdictOnceForAnOldUpstreamThatIsLost() {
+    scheduler = false;
+    order(ORDER);
+    controller.recordUse("s");
+    time.run(300);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    rollout().recordLostConnection(false, time.nowMs());
+    time.run(400);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    controller.recordUse("s");
+    time.run(1_000);
+    assertThat(store.rolloutReads).hasSize(2);
+  }
 }
