Roll-outs: hosts that place nothing tick once a second

A host that was not the first and placed nothing ticked every 100 ms and ranked all hosts each time, as long as the row of the order existed. Such tasks now count as settled, a placement wakes them, and a pending tick is rescheduled when the needed interval becomes shorter.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
@@ -9,6 +9,7 @@
 import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.SiteConfiguration;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Follows the operators' roll-out orders.
@@ -39,7 +41,8 @@
   private final Predicate<String> isScheduler;
   private final Map<String, RolloutTask> tasks = new HashMap<>();
   private RolloutTotals endedTotals = RolloutTotals.NONE;
-  private boolean tickScheduled;
+  private @Nullable ScheduledFuture<?> nextTick;
+  private long nextTickAtMs;
   private long restoredEra;
   private long restoredAtMs;
 
@@ -105,6 +108,7 @@
     restoredEra = era;
     restoredAtMs = clock.getAsLong();
     tasks.values().forEach(RolloutTask::reread);
+    scheduleTick();
   }
 
   private boolean isConfigurationRead() {
@@ -121,8 +125,13 @@
   @Override
   public void recordUse(String service) {
     RolloutTask task = tasks.get(service);
-    if (task != null) {
-      task.recordUse();
+    if (task == null) {
+      return;
+    }
+    boolean wasSettled = task.isSettled();
+    task.recordUse();
+    if (wasSettled && !task.isSettled()) {
+      scheduleTick();
     }
   }
 
@@ -171,18 +180,29 @@
     scheduleTick();
   }
 
+  /** Schedules the next tick, or an earlier one if the interval has become shorter. */
   private void scheduleTick() {
-    if (tickScheduled || tasks.isEmpty()) {
+    if (tasks.isEmpty()) {
       return;
     }
-    tickScheduled = true;
     boolean settled = tasks.values().stream().allMatch(RolloutTask::isSettled);
-    loop.schedule(
-        () -> {
-          tickScheduled = false;
-          tick();
-        },
-        settled ? SETTLED_TICK_INTERVAL_MS : TICK_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
+    long intervalMs = settled ? SETTLED_TICK_INTERVAL_MS : TICK_INTERVAL_MS;
+    long atMs = clock.getAsLong() + intervalMs;
+    ScheduledFuture<?> pending = nextTick;
+    if (pending != null) {
+      if (nextTickAtMs <= atMs) {
+        return;
+      }
+      pending.cancel(false);
+    }
+    nextTickAtMs = atMs;
+    nextTick =
+        loop.schedule(
+            () -> {
+              nextTick = null;
+              tick();
+            },
+            intervalMs,
+            TimeUnit.MILLISECONDS);
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -96,9 +96,14 @@
     lastUsedAtMs = clock.getAsLong();
   }
 
-  /** Checks whether nothing is left to do unless the store loses the status. */
+  /**
+   * Checks whether nothing is left to do unless the store loses the status, the rank changes or
+   * this host places a request.
+   */
   boolean isSettled() {
-    return rollout.state().isVerdict() && !isWriteDue();
+    return rollout.state().isVerdict()
+        ? !isWriteDue()
+        : !scheduler && !isUsed(clock.getAsLong());
   }
 
   /** Reads the status again, and writes the verdict again if the store has lost it. */
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -35,9 +35,15 @@
   private final EventLog log = new EventLog(output);
   private Optional<SiteConfiguration> configuration = Optional.empty();
   private boolean scheduler = true;
+  private int rankings;
   private final RolloutController controller =
       new RolloutController(
-          time.loop(), time::nowMs, log, store, () -> configuration, service -> scheduler);
+          time.loop(), time::nowMs, log, store, () -> configuration, service -> isScheduler());
+
+  private boolean isScheduler() {
+    rankings++;
+    return scheduler;
+  }
 
   private void order(RolloutOrder... orders) {
     order(1, orders);
@@ -412,4 +418,29 @@
     time.run(1_000);
     assertThat(store.rolloutReads).hasSize(2);
   }
+
+  /** Guards against hosts that rank all hosts ten times a second for an order of others. */
+  @Test
+  void shouldLookAtTheRankOnceASecondWhenTheHostPlacesNothing() {
+    scheduler = false;
+    order(ORDER);
+    rankings = 0;
+    time.run(10_000);
+    assertThat(rankings).isBetween(9, 11);
+    controller.recordUse("s");
+    time.run(150);
+    assertThat(store.rolloutReads).hasSize(1);
+  }
+
+  /** Guards against a second order that waits for the slow interval of a settled one. */
+  @Test
+  void shouldTickSoonerWhenAnOrderIsAddedToASettledOne() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    time.run(1_100);
+    order(ORDER, new RolloutOrder("t", "v2", 40_000, 8));
+    rankings = 0;
+    time.run(500);
+    assertThat(rankings).isGreaterThan(6);
+  }
 }
