--- a/decisions/src/main/java/dev/cactusstack/decisions/recovery/RestoredRules.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/recovery/RestoredRules.java
@@ -6,7 +6,7 @@
  * <p>Within an era only a higher operators' version does. After a restore the store may serve an
  * older version than the one in force, which operators have to write again. The configuration in
  * force then stays until the store has one at least as new, or has served the same older one for
- * {@value #HOLD_MS} ms. Confined to one thread.
+ * {@value #HOLD_MS} ms in one era. Confined to one thread.
  */
 public final class RestoredRules {
   /** Time for operators to write their configuration again, in milliseconds. */
@@ -14,6 +14,7 @@
 
   private static final long NONE = -1;
 
+  private long servedEra = NONE;
   private long servedVersion = NONE;
   private long servedSinceMs;
 
@@ -36,7 +37,8 @@
       servedVersion = NONE;
       return true;
     }
-    if (version != servedVersion) {
+    if (version != servedVersion || era != servedEra) {
+      servedEra = era;
       servedVersion = version;
       servedSinceMs = nowMs;
     }
--- a/decisions/src/test/java/dev/cactusstack/decisions/recovery/RestoredRulesTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/recovery/RestoredRulesTest.java
@@ -43,4 +43,13 @@
   void shouldNotTakeRulesOfAnEarlierEra() {
     assertThat(rules.replaces(1, 2, 9, 7, 0)).isFalse();
   }
+
+  /** Guards against a second restore that leaves operators less time than the first. */
+  @Test
+  void shouldStartOverWhenTheStoreIsRestoredAgain() {
+    assertThat(rules.replaces(2, 1, 6, 7, 0)).isFalse();
+    assertThat(rules.replaces(3, 1, 6, 7, 9_000)).isFalse();
+    assertThat(rules.replaces(3, 1, 6, 7, 18_990)).isFalse();
+    assertThat(rules.replaces(3, 1, 6, 7, 19_000)).isTrue();
+  }
 }
