Roll-outs: no credit before the roll-out runs; slow answers of cold upstreams don't count

Placements of a host that was not the scheduler collected credit, so it started with a burst on the new version. Slow answers of cold upstreams were recorded as good and counted for the coverage of a route.

--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -155,7 +155,7 @@
    * @param isFirst whether it is the request's first one
    */
   public void recordPlacement(boolean isNewVersion, boolean isFirst) {
-    exposure.recordPlacement(isNewVersion, isFirst);
+    exposure.recordPlacement(state == RolloutState.RUNNING, isNewVersion, isFirst);
     openOldPlacements += isNewVersion ? 0 : 1;
   }
 
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutExposure.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RolloutExposure.java
@@ -63,16 +63,21 @@
   }
 
   /**
-   * Records a placement while the roll-out runs.
+   * Records a placement. Credit is collected only while the roll-out runs.
    *
+   * @param isRunning whether the roll-out runs
    * @param isNewVersion whether it was made on the new version
    * @param isFirst whether it is the request's first one
    */
-  public void recordPlacement(boolean isNewVersion, boolean isFirst) {
+  public void recordPlacement(boolean isRunning, boolean isNewVersion, boolean isFirst) {
     placements++;
+    newPlacements += isNewVersion ? 1 : 0;
+    if (!isRunning) {
+      credit = 0;
+      return;
+    }
     credit = Math.min(MAX_CREDIT, credit + (isFirst ? SHARE : 0));
     if (isNewVersion) {
-      newPlacements++;
       credit = Math.max(0, credit - 1);
     }
   }
--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RouteEvidence.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/RouteEvidence.java
@@ -24,7 +24,9 @@
   /** Records an answer and returns whether it is bad. */
   boolean record(boolean isNewVersion, Answer answer, long nowMs) {
     boolean bad = isBad(answer);
-    if (!bad && answer.kind() != Answer.Kind.RESPONSE) {
+    boolean saysNothing =
+        answer.kind() == Answer.Kind.RESPONSE ? answer.cold() && isSlow(answer) : !bad;
+    if (saysNothing) {
       return false;
     }
     (isNewVersion ? newVersion : oldVersion).record(bad, nowMs);
--- a/decisions/src/test/java/dev/cactusstack/decisions/rollouts/RolloutTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/rollouts/RolloutTest.java
@@ -54,4 +54,26 @@
     assertThat(rollout.state()).isEqualTo(RolloutState.ROLLED_BACK);
     assertThat(rollout.reason()).isEqualTo("too_few_answers");
   }
+
+  /** Guards against a burst on the new version when a host becomes the scheduler. */
+  @Test
+  void shouldStartWithoutCreditWhenTheHostPlacedBeforeItBecameTheScheduler() {
+    recordResponses(false, 100, 0);
+    rollout.adopt(RolloutState.RUNNING, 1_000, true, 0);
+    assertThat(rollout.isNewVersionDue("r")).isFalse();
+    recordResponses(false, 13, 0);
+    assertThat(rollout.isNewVersionDue("r")).isTrue();
+  }
+
+  /** Guards against slow answers of cold upstreams that count as good ones. */
+  @Test
+  void shouldNotCountSlowAnswersOfColdUpstreams() {
+    rollout.adopt(RolloutState.RUNNING, 0, true, 0);
+    recordResponses(false, 20, 0);
+    rollout.recordAnswer(true, new Answer("r", Answer.Kind.RESPONSE, 500, 1, true), 0);
+    assertThat(rollout.judge().answers(true)).isZero();
+    rollout.recordAnswer(true, new Answer("r", Answer.Kind.RESPONSE, 50, 1, true), 0);
+    assertThat(rollout.judge().answers(true)).isEqualTo(1);
+    assertThat(rollout.judge().badAnswers(true)).isZero();
+  }
 }
