--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -101,9 +101,7 @@
    * this host places a request.
    */
   boolean isSettled() {
-    return rollout.state().isVerdict()
-        ? !isWriteDue()
-        : !scheduler && !isUsed(clock.getAsLong());
+    return rollout.state().isVerdict() ? !isWriteDue() : !scheduler && !isUsed(clock.getAsLong());
   }
 
   /** Reads the status again, and writes the verdict again if the store has lost it. */
