--- a/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/rollouts/Rollout.java
@@ -22,6 +22,13 @@
   private static final long MIN_PROMOTION_MS = 1_500;
 
   private static final long MAX_PROMOTION_MS = 2_000;
+
+  /**
+   * Longest time between two calls of {@link #advance} that counts as promotion. A host that was
+   * paused for longer may have been taken for dead, and others may place on the old version.
+   */
+  private static final long MAX_PROMOTION_GAP_MS = 1_000;
+
   private static final long NEVER = Long.MIN_VALUE;
 
   private final RolloutOrder order;
@@ -32,6 +39,8 @@
   private String reason = "";
   private long orderedAtMs = NEVER;
   private long promotedAtMs;
+  private long advancedAtMs;
+  private long oldUpstreamLostAtMs = NEVER;
   private int openOldPlacements;
 
   /**
@@ -84,8 +93,10 @@
     if (stored.isVerdict()) {
       changeTo(stored, "stored");
     } else if (isScheduler && state == RolloutState.UNREAD) {
+      // Regaining the role does not start the collection of answers again.
+      long joinedAtMs = orderedAtMs == NEVER ? elapsedMs : schedule.joinedAtMs();
       orderedAtMs = nowMs - elapsedMs;
-      schedule = new RolloutSchedule(order.durationMs(), elapsedMs);
+      schedule = new RolloutSchedule(order.durationMs(), joinedAtMs);
       changeTo(RolloutState.RUNNING, "stored");
     }
   }
@@ -98,8 +109,8 @@
   }
 
   /**
-   * Discards a success that could not be written before another host became the scheduler. The
-   * other host concludes anew from the status in the store.
+   * Discards a success that could not be written before another host became the scheduler or
+   * changed the status. The other host concludes anew from the status in the store.
    */
   public void discardSuccess() {
     if (state == RolloutState.SUCCEEDED) {
@@ -144,7 +155,7 @@
    * @param isFirst whether it is the request's first one
    */
   public void recordPlacement(boolean isNewVersion, boolean isFirst) {
-    exposure.recordPlacement(isNewVersion, isFirst);
+    exposure.recordPlacement(state == RolloutState.RUNNING, isNewVersion, isFirst);
     openOldPlacements += isNewVersion ? 0 : 1;
   }
 
@@ -173,6 +184,31 @@
     }
   }
 
+  /**
+   * Records that an upstream was unreachable or lost the connection.
+   *
+   * @param isNewVersion whether it has the new version
+   * @param nowMs the current time on the same clock
+   */
+  public void recordLostConnection(boolean isNewVersion, long nowMs) {
+    if (!isNewVersion && state == RolloutState.UNREAD) {
+      oldUpstreamLostAtMs = nowMs;
+    }
+  }
+
+  /**
+   * Checks whether an old upstream may have stopped because of a success that this host does not
+   * know.
+   *
+   * @param readAtMs when the last read of the status began, on the same clock
+   * @return true if the status was unread and an old upstream was lost since then
+   */
+  public boolean isVerdictSuspected(long readAtMs) {
+    return state == RolloutState.UNREAD
+        && oldUpstreamLostAtMs != NEVER
+        && oldUpstreamLostAtMs >= readAtMs;
+  }
+
   /**
    * Changes the state if it is time to.
    *
@@ -182,12 +218,16 @@
     if (state == RolloutState.RUNNING && elapsedMs(nowMs) >= schedule.conclusionAtMs()) {
       conclude(nowMs);
     } else if (state == RolloutState.PROMOTING) {
+      if (nowMs - advancedAtMs > MAX_PROMOTION_GAP_MS) {
+        promotedAtMs = nowMs;
+      }
       long promotingMs = nowMs - promotedAtMs;
       boolean ended = openOldPlacements <= 0 && promotingMs >= MIN_PROMOTION_MS;
       if (ended || promotingMs >= MAX_PROMOTION_MS) {
         changeTo(RolloutState.SUCCEEDED, "good");
       }
     }
+    advancedAtMs = nowMs;
   }
 
   private void conclude(long nowMs) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutController.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.rollouts.Rollout;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.observe.GatewayMetrics;
@@ -8,6 +9,7 @@
 import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.SiteConfiguration;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +18,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Follows the operators' roll-out orders.
@@ -27,6 +30,9 @@
   private static final long TICK_INTERVAL_MS = 100;
   private static final long SETTLED_TICK_INTERVAL_MS = 1_000;
 
+  /** Longest time after a restore of the store to wait for the configuration of its new era. */
+  private static final long CONFIGURATION_WAIT_MS = 5_000;
+
   private final EventLoop loop;
   private final LongSupplier clock;
   private final EventLog log;
@@ -35,7 +41,10 @@
   private final Predicate<String> isScheduler;
   private final Map<String, RolloutTask> tasks = new HashMap<>();
   private RolloutTotals endedTotals = RolloutTotals.NONE;
-  private boolean tickScheduled;
+  private @Nullable ScheduledFuture<?> nextTick;
+  private long nextTickAtMs;
+  private long restoredEra;
+  private long restoredAtMs;
 
   /**
    * Creates a controller that knows no orders.
@@ -45,7 +54,8 @@
    * @param log logs the steps of roll-outs
    * @param store the store that keeps their status
    * @param configuration supplies the configuration in force
-   * @param isScheduler whether this host is the first in the ranking of a service
+   * @param isScheduler whether this host is the first in the ranking of a service and hears of most
+   *     hosts
    */
   public RolloutController(
       EventLoop loop,
@@ -79,15 +89,32 @@
             });
     orders.forEach(
         (service, order) ->
-            tasks.computeIfAbsent(service, name -> new RolloutTask(clock, log, store, order)));
+            tasks.computeIfAbsent(
+                service,
+                name -> new RolloutTask(clock, log, store, this::isConfigurationRead, order)));
     if (!tasks.isEmpty()) {
       tick();
     }
   }
 
-  /** Reads all statuses again, because the store may have lost some. */
-  public void reread() {
+  /**
+   * Reads all statuses again, because the store may have lost some. Nothing is read or written
+   * until the configuration of the new era is in force, because the restored store may have other
+   * orders, or for {@value #CONFIGURATION_WAIT_MS} ms.
+   *
+   * @param era the store's new era
+   */
+  public void reread(long era) {
+    restoredEra = era;
+    restoredAtMs = clock.getAsLong();
     tasks.values().forEach(RolloutTask::reread);
+    scheduleTick();
+  }
+
+  private boolean isConfigurationRead() {
+    long revision = configuration.get().map(SiteConfiguration::revision).orElse(0L);
+    return StoreRevision.eraOf(revision) >= restoredEra
+        || clock.getAsLong() - restoredAtMs >= CONFIGURATION_WAIT_MS;
   }
 
   @Override
@@ -98,8 +125,13 @@
   @Override
   public void recordUse(String service) {
     RolloutTask task = tasks.get(service);
-    if (task != null) {
-      task.recordUse();
+    if (task == null) {
+      return;
+    }
+    boolean wasSettled = task.isSettled();
+    task.recordUse();
+    if (wasSettled && !task.isSettled()) {
+      scheduleTick();
     }
   }
 
@@ -148,18 +180,29 @@
     scheduleTick();
   }
 
+  /** Schedules the next tick, or an earlier one if the interval has become shorter. */
   private void scheduleTick() {
-    if (tickScheduled || tasks.isEmpty()) {
+    if (tasks.isEmpty()) {
       return;
     }
-    tickScheduled = true;
     boolean settled = tasks.values().stream().allMatch(RolloutTask::isSettled);
-    loop.schedule(
-        () -> {
-          tickScheduled = false;
-          tick();
-        },
-        settled ? SETTLED_TICK_INTERVAL_MS : TICK_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
+    long intervalMs = settled ? SETTLED_TICK_INTERVAL_MS : TICK_INTERVAL_MS;
+    long atMs = clock.getAsLong() + intervalMs;
+    ScheduledFuture<?> pending = nextTick;
+    if (pending != null) {
+      if (nextTickAtMs <= atMs) {
+        return;
+      }
+      pending.cancel(false);
+    }
+    nextTickAtMs = atMs;
+    nextTick =
+        loop.schedule(
+            () -> {
+              nextTick = null;
+              tick();
+            },
+            intervalMs,
+            TimeUnit.MILLISECONDS);
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/RolloutTask.java
@@ -1,7 +1,6 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.rollouts.Rollout;
-import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.SiteStore;
@@ -10,6 +9,7 @@
 import dev.cactusstack.model.site.RolloutState;
 import dev.cactusstack.model.site.RolloutStatus;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -18,7 +18,9 @@
  *
  * <p>Invariants: a status is written only over the revision of the row that was read last. The new
  * version gets nothing until the status was read and, if there was none, written. A verdict of the
- * store takes precedence over one of this host that was not written. Confined to the event loop.
+ * store takes precedence over one of this host that was not written. A success that was never
+ * written is discarded if another host changed the row, because that host places on the old
+ * version. Confined to the event loop.
  */
 final class RolloutTask {
   /** A host that was taken for dead may go on, so the scheduler looks for another's verdict. */
@@ -28,16 +30,30 @@
   private static final long USE_MEMORY_MS = 1_000;
   private static final long RETRY_MS = 250;
   private static final long MAX_RETRY_MS = 2_000;
-  private static final long PROGRESS_LOG_INTERVAL_MS = 5_000;
+
+  /**
+   * Time for the later order that a row names to reach this host. After a restore of the store
+   * revisions are given out again, and a row of the earlier era may name a later order for good.
+   */
+  private static final long LATER_ORDER_WAIT_MS = 3_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Value of a row's revision that this host can't compare, as after a restore of the store. */
+  private static final long UNKNOWN_REVISION = -1;
+
   private final LongSupplier clock;
-  private final EventLog log;
   private final SiteStore store;
+  private final BooleanSupplier configurationRead;
   private final Rollout rollout;
-  private final long learnedAtMs;
+  private final RolloutEvents events;
+
+  /** Earliest known time of the order on this host's clock; also outlasts a loss of the row. */
+  private long orderedAtMs;
+
   private @Nullable RolloutStatus stored;
-  private long rowRevision;
+  private long rowRevision = UNKNOWN_REVISION;
+  private boolean verdictStored;
   private long startedAtMs = RolloutRow.UNNAMED;
   private boolean rowKnown;
   private boolean callPending;
@@ -45,16 +61,31 @@
   private long nextCallAtMs = NEVER;
   private long retryDelayMs = RETRY_MS;
   private long lastReadAtMs = NEVER;
+  private long readStartedAtMs = NEVER;
   private long lastUsedAtMs = NEVER;
-  private long loggedAtMs = NEVER;
-  private RolloutState loggedState = RolloutState.UNREAD;
+  private long laterOrderSinceMs = NEVER;
 
-  RolloutTask(LongSupplier clock, EventLog log, SiteStore store, RolloutOrder order) {
+  /**
+   * Creates a task.
+   *
+   * @param clock a monotonic clock, in milliseconds
+   * @param log logs the steps
+   * @param store the store that keeps the status
+   * @param configurationRead whether the order was read since the last restore of the store
+   * @param order the operators' order
+   */
+  RolloutTask(
+      LongSupplier clock,
+      EventLog log,
+      SiteStore store,
+      BooleanSupplier configurationRead,
+      RolloutOrder order) {
     this.clock = clock;
-    this.log = log;
     this.store = store;
+    this.configurationRead = configurationRead;
     this.rollout = new Rollout(order);
-    this.learnedAtMs = clock.getAsLong();
+    this.events = new RolloutEvents(log, rollout);
+    this.orderedAtMs = clock.getAsLong();
   }
 
   Rollout rollout() {
@@ -65,22 +96,28 @@
     lastUsedAtMs = clock.getAsLong();
   }
 
-  /** Checks whether nothing is left to do unless the store loses the status. */
+  /**
+   * Checks whether nothing is left to do unless the store loses the status, the rank changes or
+   * this host places a request.
+   */
   boolean isSettled() {
-    return rollout.state().isVerdict() && !isWriteDue();
+    return rollout.state().isVerdict() ? !isWriteDue() : !scheduler && !isUsed(clock.getAsLong());
   }
 
   /** Reads the status again, and writes the verdict again if the store has lost it. */
   void reread() {
     stored = null;
     rowKnown = false;
+    rowRevision = UNKNOWN_REVISION;
+    laterOrderSinceMs = NEVER;
     nextCallAtMs = NEVER;
   }
 
   /**
    * Advances the roll-out and calls the store if needed.
    *
-   * @param isScheduler whether this host is the first in the service's ranking
+   * @param isScheduler whether this host is the first in the service's ranking and hears of most
+   *     hosts
    */
   void tick(boolean isScheduler) {
     long now = clock.getAsLong();
@@ -91,8 +128,8 @@
     if (isScheduler) {
       rollout.advance(now);
     }
-    logStep(now);
-    if (!callPending && now >= nextCallAtMs) {
+    events.logStep(now);
+    if (!callPending && now >= nextCallAtMs && configurationRead.getAsBoolean()) {
       callStore(now);
     }
   }
@@ -130,21 +167,33 @@
     boolean due =
         scheduler
             ? rollout.state() == RolloutState.UNREAD || now - lastReadAtMs >= REFRESH_INTERVAL_MS
-            : now - lastUsedAtMs <= USE_MEMORY_MS
-                && now - lastReadAtMs >= OTHER_HOST_REFRESH_INTERVAL_MS;
+            : isReadDueOnOtherHost(now);
     if (due) {
       read();
     }
   }
 
+  private boolean isReadDueOnOtherHost(long now) {
+    long sinceReadMs = now - lastReadAtMs;
+    return rollout.isVerdictSuspected(readStartedAtMs)
+        ? sinceReadMs >= RETRY_MS
+        : isUsed(now) && sinceReadMs >= OTHER_HOST_REFRESH_INTERVAL_MS;
+  }
+
+  private boolean isUsed(long now) {
+    return now - lastUsedAtMs <= USE_MEMORY_MS;
+  }
+
   private void read() {
     callPending = true;
+    long startedAt = clock.getAsLong();
     store
         .readRolloutStatus(rollout.order().service())
         .whenComplete(
             (row, failure) -> {
               callPending = false;
               if (failure == null) {
+                readStartedAtMs = startedAt;
                 onRead(row);
               } else {
                 onFailure("read", StoreException.of(failure));
@@ -155,23 +204,28 @@
   private void onRead(RolloutRow row) {
     long now = clock.getAsLong();
     lastReadAtMs = now;
+    boolean changedByOther =
+        rowRevision != UNKNOWN_REVISION && row.revision() != rowRevision && !verdictStored;
     rowRevision = row.revision();
     rowKnown = true;
     Optional<RolloutStatus> found = row.statusOf(rollout.order());
     stored = found.orElse(null);
     if (found.isPresent()) {
+      laterOrderSinceMs = NEVER;
       retryDelayMs = RETRY_MS;
-      rollout.adopt(found.get().state(), elapsedMs(found.get(), row, now), scheduler, now);
-      logStep(now);
+      adoptRead(found.get(), row, changedByOther, now);
+      events.logStep(now);
       return;
     }
-    if (row.isOfLaterOrder(rollout.order())) {
-      // This host has not learned of the later order yet.
+    if (changedByOther) {
+      rollout.discardSuccess();
+    }
+    if (row.isOfLaterOrder(rollout.order()) && isLaterOrderAwaited(now)) {
       rowKnown = false;
       nextCallAtMs = now + RETRY_MS;
       return;
     }
-    startedAtMs = row.storeNowMs() - (now - learnedAtMs);
+    startedAtMs = row.storeNowMs() - (now - orderedAtMs);
     if (rollout.state().isVerdict()) {
       write(rollout.state());
     } else if (scheduler) {
@@ -179,14 +233,47 @@
     }
   }
 
+  private boolean isLaterOrderAwaited(long now) {
+    if (laterOrderSinceMs == NEVER) {
+      laterOrderSinceMs = now;
+    }
+    return now - laterOrderSinceMs < LATER_ORDER_WAIT_MS;
+  }
+
+  private void adoptRead(RolloutStatus status, RolloutRow row, boolean changedByOther, long now) {
+    long elapsedMs = elapsedMs(status, row, now);
+    if (status.state().isVerdict()) {
+      verdictStored = true;
+      rollout.adopt(status.state(), elapsedMs, scheduler, now);
+      return;
+    }
+    if (changedByOther) {
+      // The other host has taken over, and may place on the old version.
+      rollout.discardSuccess();
+      rollout.suspend();
+    }
+    if (scheduler && rollout.state() == RolloutState.UNREAD) {
+      // Changes the row, so that the predecessor can't write a success any more.
+      write(RolloutState.RUNNING);
+    }
+  }
+
   private long elapsedMs(RolloutStatus status, RolloutRow row, long now) {
-    startedAtMs = status.startedAtMs();
-    long byStoreMs =
-        status.startedAtMs() == RolloutRow.UNNAMED ? 0 : row.storeNowMs() - status.startedAtMs();
-    return Math.max(byStoreMs, now - learnedAtMs);
+    if (status.startedAtMs() == RolloutRow.UNNAMED) {
+      startedAtMs = row.storeNowMs() - (now - orderedAtMs);
+    } else {
+      startedAtMs = status.startedAtMs();
+      orderedAtMs = Math.min(orderedAtMs, now - (row.storeNowMs() - startedAtMs));
+    }
+    return now - orderedAtMs;
   }
 
   private void write(RolloutState state) {
+    if (!configurationRead.getAsBoolean()) {
+      // The restored store may have another order.
+      rowKnown = false;
+      return;
+    }
     callPending = true;
     RolloutOrder order = rollout.order();
     var status = new RolloutStatus(state, order.version(), order.revision(), startedAtMs);
@@ -208,49 +295,17 @@
     retryDelayMs = RETRY_MS;
     stored = status;
     rowRevision = revision;
-    rollout.adopt(status.state(), now - learnedAtMs, scheduler, now);
-    event("rollout_written").with("written", status.state().label()).write();
-    logStep(now);
+    verdictStored = status.state().isVerdict();
+    rollout.adopt(status.state(), now - orderedAtMs, scheduler, now);
+    events.logWritten(status);
+    events.logStep(now);
   }
 
   /** The row may have changed, or the write may have taken effect, so the row is read first. */
   private void onFailure(String call, StoreException failure) {
     rowKnown = false;
     nextCallAtMs = clock.getAsLong() + retryDelayMs;
-    event("rollout_store_failed")
-        .with("call", call)
-        .with("cause", String.valueOf(failure.getMessage()))
-        .with("retry_ms", retryDelayMs)
-        .write();
+    events.logFailure(call, failure, retryDelayMs);
     retryDelayMs = Math.min(MAX_RETRY_MS, retryDelayMs * 2);
   }
-
-  private void logStep(long now) {
-    boolean changed = rollout.state() != loggedState;
-    boolean progressDue =
-        rollout.state() == RolloutState.RUNNING && now - loggedAtMs >= PROGRESS_LOG_INTERVAL_MS;
-    if (!changed && !progressDue) {
-      return;
-    }
-    loggedState = rollout.state();
-    loggedAtMs = now;
-    event("rollout")
-        .with("why", changed ? rollout.reason() : "progress")
-        .with("since_order_ms", rollout.elapsedMs(now))
-        .with("placements", rollout.exposure().placements())
-        .with("placements_new", rollout.exposure().newPlacements())
-        .with("answers_old", rollout.judge().answers(false))
-        .with("bad_old", rollout.judge().badAnswers(false))
-        .with("answers_new", rollout.judge().answers(true))
-        .with("bad_new", rollout.judge().badAnswers(true))
-        .write();
-  }
-
-  private EventLine event(String name) {
-    return log.event(name)
-        .with("service", rollout.order().service())
-        .with("version", rollout.order().version())
-        .with("order", rollout.order().revision())
-        .with("state", rollout.state().label());
-  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.rollouts.Answer;
 import dev.cactusstack.decisions.rollouts.Rollout;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -34,11 +35,21 @@
   private final EventLog log = new EventLog(output);
   private Optional<SiteConfiguration> configuration = Optional.empty();
   private boolean scheduler = true;
+  private int rankings;
   private final RolloutController controller =
       new RolloutController(
-          time.loop(), time::nowMs, log, store, () -> configuration, service -> scheduler);
+          time.loop(), time::nowMs, log, store, () -> configuration, service -> isScheduler());
+
+  private boolean isScheduler() {
+    rankings++;
+    return scheduler;
+  }
 
   private void order(RolloutOrder... orders) {
+    order(1, orders);
+  }
+
+  private void order(long revision, RolloutOrder... orders) {
     Map<String, RolloutOrder> rollouts = new HashMap<>();
     for (RolloutOrder order : orders) {
       rollouts.put(order.service(), order);
@@ -46,7 +57,14 @@
     configuration =
         Optional.of(
             new SiteConfiguration(
-                1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), Map.of(), rollouts));
+                revision,
+                1,
+                List.of(),
+                Map.of(),
+                CallerLimits.DEFAULT,
+                Set.of(),
+                Map.of(),
+                rollouts));
     controller.onConfigurationChanged();
     time.run(20);
   }
@@ -162,9 +180,15 @@
   void shouldCountTheTimeThatTheStatusNamesWhenTakingOver() {
     order(ORDER);
     answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000)), ROW_REVISION);
+    // The row is rewritten once, so that the predecessor can't write over it any more.
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
+    assertThat(lastWritten()).isEqualTo(status(RolloutState.RUNNING, 7, STORE_NOW_MS - 25_000));
+    last(store.rolloutWrites).complete(ROW_REVISION + 1);
     assertThat(rollout().state()).isEqualTo(RolloutState.RUNNING);
     assertThat(rollout().elapsedMs(time.nowMs())).isBetween(25_000L, 26_000L);
-    assertThat(store.rolloutWrites).isEmpty();
+    time.run(300);
+    assertThat(store.rolloutWrites).hasSize(1);
   }
 
   /** Guards against a restarted host that starts a finished roll-out again. */
@@ -249,7 +273,7 @@
   void shouldWriteTheVerdictAgainWhenTheStoreHasLostIt() {
     order(ORDER);
     answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
-    controller.reread();
+    controller.reread(0);
     time.run(1_500);
     answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), 5);
     assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
@@ -268,4 +292,155 @@
         .contains("state=rolled_back why=bad_answers")
         .contains("bad_new=8");
   }
+
+  private void promote() {
+    start();
+    recordAnswers(false, Answer.Kind.RESPONSE, 900);
+    recordAnswers(true, Answer.Kind.RESPONSE, 80);
+    for (int i = 0; i < 400 && rollout().state() != RolloutState.SUCCEEDED; i++) {
+      time.run(100);
+      answerPendingRead(RolloutState.RUNNING);
+    }
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against a success that stops the old servers while a successor still uses them. */
+  @Test
+  void shouldDiscardAnUnwrittenSuccessWhenAnotherHostChangedTheRow() {
+    promote();
+    last(store.rolloutWrites)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    time.run(400);
+    int writes = store.rolloutWrites.size();
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), ROW_REVISION + 1);
+    assertThat(rollout().state()).isEqualTo(RolloutState.UNREAD);
+    assertThat(store.rolloutWrites).hasSize(writes + 1);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.RUNNING);
+  }
+
+  /** Guards against a success that is given up because the store was away for a moment. */
+  @Test
+  void shouldWriteTheSuccessAgainWhenNobodyChangedTheRow() {
+    promote();
+    last(store.rolloutWrites)
+        .completeExceptionally(FakeStore.failure(StoreException.Kind.NOT_APPLIED));
+    time.run(400);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, STORE_NOW_MS)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+    time.run(300);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against an order after a restore that never starts, as the row names a higher one. */
+  @Test
+  void shouldReplaceTheStatusOfALaterOrderThatDoesNotArrive() {
+    order(ORDER);
+    for (int i = 0; i < 8; i++) {
+      answerRead(Optional.of(status(RolloutState.RUNNING, 12, 0)), ROW_REVISION);
+      assertThat(store.rolloutWrites).isEmpty();
+    }
+    for (int i = 0; i < 8 && store.rolloutWrites.isEmpty(); i++) {
+      answerRead(Optional.of(status(RolloutState.RUNNING, 12, 0)), ROW_REVISION);
+    }
+    assertThat(store.writtenOverRevisions).containsExactly(ROW_REVISION);
+    assertThat(lastWritten().orderRevision()).isEqualTo(ORDER.revision());
+  }
+
+  /** Guards against a status of an order that the restored store does not have. */
+  @Test
+  void shouldNotWriteAfterARestoreBeforeTheConfigurationWasRead() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    controller.reread(1);
+    time.run(3_000);
+    assertThat(store.callCount()).isEqualTo(1);
+    order(StoreRevision.of(1, 5), ORDER);
+    time.run(1_500);
+    answerRead(Optional.empty(), 0);
+    assertThat(lastWritten().state()).isEqualTo(RolloutState.ROLLED_BACK);
+  }
+
+  /** Guards against an answer that was on its way when the restore became known. */
+  @Test
+  void shouldNotWriteForAReadThatEndsBeforeTheConfigurationWasRead() {
+    order(ORDER);
+    controller.reread(1);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).isEmpty();
+    time.run(6_000);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).hasSize(1);
+  }
+
+  /** Guards against a roll-out that gets more time because the store lost its row. */
+  @Test
+  void shouldKeepTheStartWhenTheRowWasLost() {
+    order(ORDER);
+    long startedAtMs = STORE_NOW_MS - 25_000;
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, startedAtMs)), ROW_REVISION);
+    last(store.rolloutWrites).complete(ROW_REVISION + 1);
+    time.run(5_500);
+    answerRead(Optional.empty(), 0);
+    assertThat(store.rolloutWrites).hasSize(2);
+    assertThat(lastWritten().startedAtMs()).isBetween(startedAtMs - 100, startedAtMs + 100);
+  }
+
+  /** Guards against requests that fail on old servers that stopped after the success. */
+  @Test
+  void shouldReadTheVerdictAtOnceWhenAnOldUpstreamIsLost() {
+    scheduler = false;
+    order(ORDER);
+    controller.recordUse("s");
+    time.run(300);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    controller.recordUse("s");
+    time.run(200);
+    assertThat(store.rolloutReads).hasSize(1);
+    rollout().recordLostConnection(false, time.nowMs());
+    time.run(200);
+    assertThat(store.rolloutReads).hasSize(2);
+    answerRead(Optional.of(status(RolloutState.SUCCEEDED, 7, 0)), ROW_REVISION);
+    assertThat(rollout().state()).isEqualTo(RolloutState.SUCCEEDED);
+  }
+
+  /** Guards against reads at each tick because of one lost upstream. */
+  @Test
+  void shouldReadTheVerdictOnceForAnOldUpstreamThatIsLost() {
+    scheduler = false;
+    order(ORDER);
+    controller.recordUse("s");
+    time.run(300);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    rollout().recordLostConnection(false, time.nowMs());
+    time.run(400);
+    answerRead(Optional.of(status(RolloutState.RUNNING, 7, 0)), ROW_REVISION);
+    controller.recordUse("s");
+    time.run(1_000);
+    assertThat(store.rolloutReads).hasSize(2);
+  }
+
+  /** Guards against hosts that rank all hosts ten times a second for an order of others. */
+  @Test
+  void shouldLookAtTheRankOnceASecondWhenTheHostPlacesNothing() {
+    scheduler = false;
+    order(ORDER);
+    rankings = 0;
+    time.run(10_000);
+    assertThat(rankings).isBetween(9, 11);
+    controller.recordUse("s");
+    time.run(150);
+    assertThat(store.rolloutReads).hasSize(1);
+  }
+
+  /** Guards against a second order that waits for the slow interval of a settled one. */
+  @Test
+  void shouldTickSoonerWhenAnOrderIsAddedToASettledOne() {
+    order(ORDER);
+    answerRead(Optional.of(status(RolloutState.ROLLED_BACK, 7, 0)), ROW_REVISION);
+    time.run(1_100);
+    order(ORDER, new RolloutOrder("t", "v2", 40_000, 8));
+    rankings = 0;
+    time.run(500);
+    assertThat(rankings).isGreaterThan(6);
+  }
 }
