Hosts, upstreams: their controllers are split by job

Change: SelfRegistration registers this host, ReaderRole knows whether it watches the configuration. RegisteredUpstreams merges what was read of upstreams, RegistrationTimes knows when, UpstreamPoll polls after each use. Public methods and constructors stay, and behaviour is unchanged.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HostsController.java
@@ -1,9 +1,7 @@
 package dev.cactusstack.gateway.control;
 
-import dev.cactusstack.decisions.gossip.ConfigurationReaders;
 import dev.cactusstack.decisions.gossip.HeartbeatState;
 import dev.cactusstack.decisions.gossip.PeerTable;
-import dev.cactusstack.decisions.gossip.ReaderSilence;
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.registrations.SuspensionDetector;
@@ -17,7 +15,6 @@
 import io.netty.channel.EventLoop;
 import java.util.Collections;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -26,7 +23,8 @@
 
 /**
  * Tracks the other hosts of the site: registers this host, reads the registrations of others, and
- * gossips about which hosts are alive. Confined to the event loop.
+ * gossips about which hosts are alive. {@link ReaderRole} tells which of them watch the store.
+ * Confined to the event loop.
  */
 public final class HostsController {
   private static final long GOSSIP_INTERVAL_MS = PeerTable.HEARTBEAT_INTERVAL_MS;
@@ -35,21 +33,17 @@
   private static final int MAX_HEARTBEATS = 80;
   private static final int MAX_STARTED_HOSTS = 8;
   private static final long RECENT_START_MS = 6_000;
-  private static final long REGISTER_RETRY_MS = 400;
-  private static final long STARTUP_SETTLE_MS = 1_500;
   private static final int CONFIGURATION_FANOUT = 3;
 
   /** Time that this host did not run above which messages that waited may be too old. */
   private static final long MIN_STOP_MS = 1_000;
 
   private static final long EXPIRY_AFTER_STOP_MS = 2_000;
-  private static final ConfigurationReaders CONFIGURATION_READERS = new ConfigurationReaders(3);
 
   private final EventLoop loop;
   private final LongSupplier clock;
   private final LongSupplier timeOfDay;
   private final EventLog log;
-  private final SiteStore store;
   private final PeerTable peers;
   private final Link link;
   private final ConfigurationController configuration;
@@ -57,16 +51,10 @@
   private final Random random;
   private final Supplier<StoreContact> storeContact;
   private final BooleanSupplier knowsUpstreams;
-  private final ReaderSilence readerSilence = new ReaderSilence();
+  private final SelfRegistration registration;
+  private final ReaderRole readerRole;
   private final SuspensionDetector suspensionDetector;
   private long lastRoundAtMs;
-  private boolean readerCheckPending;
-  private long startedAtMs;
-  private boolean registered;
-  private HostRegistration ownRegistration;
-  private long knownEra;
-  private long rowEra;
-  private boolean rewriting;
 
   /**
    * Creates a controller.
@@ -103,23 +91,27 @@
     this.timeOfDay = timeOfDay;
     this.suspensionDetector = new SuspensionDetector(clock.getAsLong(), timeOfDay.getAsLong());
     this.log = log;
-    this.store = store;
     this.peers = peers;
     this.link = link;
     this.configuration = configuration;
     this.self = self;
-    this.ownRegistration = self;
     this.random = random;
     this.storeContact = storeContact;
     this.knowsUpstreams = knowsUpstreams;
+    this.registration =
+        new SelfRegistration(loop, clock, log, store, peers, self, this::startGossip);
+    this.readerRole =
+        new ReaderRole(loop, clock, log, peers, configuration, self, registration::isRegistered);
   }
 
   /** Registers this host, and starts to gossip once it is registered. */
   public void start() {
-    startedAtMs = clock.getAsLong();
-    peers.recordStart(self, startedAtMs);
-    register();
-    loop.schedule(configuration::updateReaderRole, STARTUP_SETTLE_MS, TimeUnit.MILLISECONDS);
+    long now = clock.getAsLong();
+    readerRole.recordStart(now);
+    peers.recordStart(self, now);
+    registration.register();
+    loop.schedule(
+        configuration::updateReaderRole, ReaderRole.STARTUP_SETTLE_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -128,7 +120,7 @@
    * @return false until both have succeeded once
    */
   public boolean knowsHosts() {
-    return registered;
+    return registration.isRegistered();
   }
 
   /**
@@ -139,15 +131,7 @@
    *     cannot announce changes to it
    */
   public boolean isConfigurationReader() {
-    long now = clock.getAsLong();
-    if (now - startedAtMs < STARTUP_SETTLE_MS) {
-      return false;
-    }
-    return !registered || rankReaders(now).isReader(self);
-  }
-
-  private ConfigurationReaders.Ranking rankReaders(long now) {
-    return CONFIGURATION_READERS.rank(peers.reachingStore(now));
+    return readerRole.isReader();
   }
 
   /**
@@ -175,34 +159,11 @@
         .ifPresent(newer -> link.send(new LinkMessage.ConfigurationUpdate(newer), from));
   }
 
-  private void register() {
-    store
-        .register(self)
-        .thenCompose(
-            registration -> {
-              peers.recordStart(registration, clock.getAsLong());
-              ownRegistration = registration;
-              rowEra = StoreRevision.eraOf(registration.incarnation());
-              return store.readHosts();
-            })
-        .whenComplete(
-            (registrations, failure) -> {
-              if (failure != null) {
-                log.event("register_failed")
-                    .with("cause", String.valueOf(failure.getMessage()))
-                    .write();
-                loop.schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
-                return;
-              }
-              registrations.forEach(host -> peers.recordStart(host, clock.getAsLong()));
-              log.event("registered").with("hosts", registrations.size()).write();
-              registered = true;
-              onStoreRestored(rowEra);
-              lastRoundAtMs = clock.getAsLong();
-              gossipRound();
-              loop.scheduleAtFixedRate(
-                  this::gossipRound, GOSSIP_INTERVAL_MS, GOSSIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
-            });
+  private void startGossip() {
+    lastRoundAtMs = clock.getAsLong();
+    gossipRound();
+    loop.scheduleAtFixedRate(
+        this::gossipRound, GOSSIP_INTERVAL_MS, GOSSIP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -212,26 +173,7 @@
    * @param era the era that the restore has begun
    */
   public void onStoreRestored(long era) {
-    knownEra = Math.max(knownEra, era);
-    if (!registered || rewriting || rowEra >= knownEra) {
-      return;
-    }
-    rewriting = true;
-    long target = knownEra;
-    store
-        .register(ownRegistration)
-        .whenComplete(
-            (registration, failure) -> {
-              rewriting = false;
-              if (failure == null) {
-                rowEra = target;
-                log.event("registered_again").with("era", target).write();
-                onStoreRestored(target);
-              } else {
-                loop.schedule(
-                    () -> onStoreRestored(target), REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
-              }
-            });
+    registration.onStoreRestored(era);
   }
 
   /** Announces to other hosts that this one accepts no new callers. */
@@ -267,7 +209,7 @@
   private void gossipRound() {
     distrustAfterStop();
     configuration.updateReaderRole();
-    checkReaders();
+    readerRole.checkReaders();
     sendGossip(GOSSIP_FANOUT);
   }
 
@@ -283,33 +225,6 @@
     }
   }
 
-  /** Reads the configuration if no host that watches the store has been heard of lately. */
-  private void checkReaders() {
-    long now = clock.getAsLong();
-    if (readerCheckPending || !registered || now - startedAtMs < STARTUP_SETTLE_MS) {
-      return;
-    }
-    ConfigurationReaders.Ranking ranking = rankReaders(now);
-    if (ranking.isReader(self)) {
-      return;
-    }
-    OptionalLong ageMs = peers.youngestHeartbeatAgeMs(ranking.readers(), now);
-    long waitMs = readerSilence.untilReadMs(ageMs, now);
-    if (waitMs == 0) {
-      log.event("configuration_readers_silent").with("age_ms", ageMs.orElse(-1)).write();
-      readerSilence.recordRead(now);
-      configuration.readUnwatched();
-    } else if (waitMs < GOSSIP_INTERVAL_MS) {
-      readerCheckPending = true;
-      loop.schedule(this::checkReadersAgain, waitMs, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void checkReadersAgain() {
-    readerCheckPending = false;
-    checkReaders();
-  }
-
   private void sendGossip(int fanout) {
     long now = clock.getAsLong();
     List<HeartbeatState> states =
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/UpstreamsController.java
@@ -1,11 +1,6 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.registrations.RegistrationAge;
-import dev.cactusstack.decisions.registrations.RegistrationState;
-import dev.cactusstack.decisions.registrations.StoreOutageDetector;
-import dev.cactusstack.decisions.registrations.SuspensionDetector;
-import dev.cactusstack.decisions.registrations.UpstreamRegistry;
-import dev.cactusstack.gateway.observe.EventLine;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.StoreException;
@@ -15,10 +10,8 @@
 import dev.cactusstack.model.site.UpstreamRegistration;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -35,9 +28,7 @@
  * outage and upstreams then register again. Confined to the event loop.
  */
 public final class UpstreamsController {
-  private static final long POLL_INTERVAL_MS = 700;
   private static final long FRESHNESS_MS = RegistrationAge.MAX_FOR_PLACEMENT_MS;
-  private static final long POLL_AFTER_USE_MS = 4_000;
   private static final long MAX_READ_WAIT_MS = 150;
 
   /**
@@ -49,34 +40,24 @@
   /** Age of registrations from which an upstream may have completed a drain since. */
   private static final long DRAIN_MS = 2_000;
 
-  private static final long RENEWAL_TIME_MS = 2_200;
   private static final long UNKNOWN_REVISION = -1;
-  private static final long NEVER = Long.MIN_VALUE / 2;
-  private static final long FAILURE_MEMORY_MS = 5_000;
   private static final long FAILURE_LOG_INTERVAL_MS = 3_000;
 
   private final EventLoop loop;
   private final LongSupplier clock;
-  private final LongSupplier timeOfDay;
   private final EventLog log;
   private final SiteStore store;
   private final Supplier<Optional<SiteConfiguration>> configuration;
   private final BooleanSupplier othersReadStore;
-  private final UpstreamRegistry registry = new UpstreamRegistry();
-  private final StoreOutageDetector outageDetector = new StoreOutageDetector(RENEWAL_TIME_MS);
+  private final RegisteredUpstreams registered;
+  private final RegistrationTimes times;
+  private final UpstreamPoll poll;
   private final List<Runnable> waitingTasks = new ArrayList<>();
-  private final SuspensionDetector suspensionDetector;
   private Runnable changeListener = () -> {};
   private Consumer<List<Long>> otherRevisionsListener = revisions -> {};
   private Runnable storeRegainedListener = () -> {};
   private long revision = UNKNOWN_REVISION;
-  private long lastReadAtMs = NEVER;
-  private long lastUsedAtMs = NEVER;
-  private long lastFailureAtMs = NEVER;
-  private long readRequestedAtMs = NEVER;
   private boolean readInProgress;
-  private boolean pollScheduled;
-  private boolean restored;
 
   /**
    * Creates a controller that knows no upstreams.
@@ -100,12 +81,13 @@
       BooleanSupplier othersReadStore) {
     this.loop = loop;
     this.clock = clock;
-    this.timeOfDay = timeOfDay;
-    this.suspensionDetector = new SuspensionDetector(clock.getAsLong(), timeOfDay.getAsLong());
     this.log = log;
     this.store = store;
     this.configuration = configuration;
     this.othersReadStore = othersReadStore;
+    this.registered = new RegisteredUpstreams(log);
+    this.times = new RegistrationTimes(clock, timeOfDay);
+    this.poll = new UpstreamPoll(loop, clock, this::read);
   }
 
   /**
@@ -134,8 +116,8 @@
    * state are missing in it until they register again, like after an outage.
    */
   public void onStoreRestored() {
-    restored = true;
-    if (isPolling()) {
+    registered.recordRestore();
+    if (poll.isActive()) {
       read();
     }
   }
@@ -151,15 +133,15 @@
    * @param task the task to run
    */
   public void runWhenFresh(Runnable task) {
-    addSuspension();
+    times.addSuspension();
     long now = clock.getAsLong();
-    if (now - lastReadAtMs < FRESHNESS_MS || now - lastFailureAtMs < FRESHNESS_MS) {
+    if (times.ageMs(now) < FRESHNESS_MS || times.failureAgeMs(now) < FRESHNESS_MS) {
       task.run();
       return;
     }
     waitingTasks.add(task);
     if (waitingTasks.size() == 1) {
-      boolean readNeeded = isNeverRead() || now - lastReadAtMs >= DRAIN_MS;
+      boolean readNeeded = isNeverRead() || times.ageMs(now) >= DRAIN_MS;
       long waitMs = readNeeded ? MAX_NEEDED_READ_WAIT_MS : MAX_READ_WAIT_MS;
       loop.schedule(this::runWaitingTasks, waitMs, TimeUnit.MILLISECONDS);
     }
@@ -168,8 +150,7 @@
 
   /** Polls the registrations for some time, because this host places requests of other hosts. */
   public void keepFresh() {
-    lastUsedAtMs = clock.getAsLong();
-    schedulePoll();
+    poll.recordUse();
   }
 
   /**
@@ -178,8 +159,8 @@
    * @return milliseconds since the last successful read was requested
    */
   public long ageMs() {
-    addSuspension();
-    return clock.getAsLong() - lastReadAtMs;
+    times.addSuspension();
+    return times.ageMs(clock.getAsLong());
   }
 
   /**
@@ -189,8 +170,8 @@
    * @return milliseconds since the last successful read that found its registration was requested
    */
   public long ageMs(String upstreamId) {
-    return registry.isLapsed(upstreamId)
-        ? clock.getAsLong() - outageDetector.outageBeganAtMs()
+    return registered.isLapsed(upstreamId)
+        ? clock.getAsLong() - registered.outageBeganAtMs()
         : ageMs();
   }
 
@@ -200,7 +181,7 @@
    * @return true until the first successful read
    */
   public boolean isNeverRead() {
-    return lastReadAtMs == NEVER;
+    return times.isNeverRead();
   }
 
   /**
@@ -210,8 +191,7 @@
    *     says nothing about the store any more
    */
   public boolean isStoreFailing() {
-    return lastFailureAtMs > lastReadAtMs
-        && clock.getAsLong() - lastFailureAtMs < FAILURE_MEMORY_MS;
+    return times.isStoreFailing();
   }
 
   /**
@@ -221,8 +201,7 @@
    * @return their registrations with the remaining warmup from now
    */
   public List<UpstreamRegistration> usableUpstreams(String service) {
-    List<UpstreamRegistration> usable =
-        new ArrayList<>(registry.usable(service, clock.getAsLong()));
+    List<UpstreamRegistration> usable = registered.usable(service, clock.getAsLong());
     usable.removeIf(upstream -> isEvacuated(upstream.dataCentre()));
     return usable;
   }
@@ -244,41 +223,12 @@
     return configuration.get().map(c -> c.evacuated().contains(dataCentre)).orElse(false);
   }
 
-  /** Adds time that the monotonic clock did not count to the age of the registrations. */
-  private void addSuspension() {
-    long suspendedMs = suspensionDetector.suspendedMs(clock.getAsLong(), timeOfDay.getAsLong());
-    if (suspendedMs > 0 && lastReadAtMs != NEVER) {
-      lastReadAtMs -= suspendedMs;
-      lastFailureAtMs -= suspendedMs;
-      readRequestedAtMs -= suspendedMs;
-    }
-  }
-
-  private void schedulePoll() {
-    if (!pollScheduled) {
-      pollScheduled = true;
-      loop.schedule(this::poll, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void poll() {
-    pollScheduled = false;
-    if (isPolling()) {
-      read();
-      schedulePoll();
-    }
-  }
-
-  private boolean isPolling() {
-    return clock.getAsLong() - lastUsedAtMs < POLL_AFTER_USE_MS;
-  }
-
   private void read() {
     if (readInProgress) {
       return;
     }
     readInProgress = true;
-    readRequestedAtMs = clock.getAsLong();
+    times.recordRequest();
     CompletableFuture<UpstreamChange> call =
         revision == UNKNOWN_REVISION ? store.readUpstreams() : store.readUpstreamChanges(revision);
     boolean othersRead = othersReadStore.getAsBoolean();
@@ -302,16 +252,16 @@
       return;
     }
     long now = clock.getAsLong();
-    outageDetector.recordFailure(readRequestedAtMs, othersRead);
-    if (now - lastFailureAtMs > FAILURE_LOG_INTERVAL_MS) {
+    registered.recordFailure(times.requestedAtMs(), othersRead);
+    if (times.failureAgeMs(now) > FAILURE_LOG_INTERVAL_MS) {
       log.event("upstreams_unread")
           .with("cause", String.valueOf(failure.getMessage()))
-          .with("age_ms", now - lastReadAtMs)
+          .with("age_ms", times.ageMs(now))
           .write();
     }
-    lastFailureAtMs = now;
+    times.recordFailure(now);
     runWaitingTasks();
-    if (isPolling() && now - readRequestedAtMs >= POLL_INTERVAL_MS) {
+    if (poll.isActive() && now - times.requestedAtMs() >= UpstreamPoll.INTERVAL_MS) {
       read();
     }
   }
@@ -323,62 +273,16 @@
   }
 
   private void apply(UpstreamChange change) {
-    addSuspension();
+    times.addSuspension();
     long now = clock.getAsLong();
-    boolean regained = lastFailureAtMs > lastReadAtMs;
+    boolean regained = times.hasFailedSinceRead();
     revision = change.revision();
-    // The response may have waited while this host was frozen, so its age counts from the request.
-    lastReadAtMs = readRequestedAtMs;
-    if (restored && change.fullSnapshot()) {
-      restored = false;
-      outageDetector.recordRestore();
-    }
-    outageDetector.recordRead(readRequestedAtMs, now);
-    Set<String> missing =
-        change.fullSnapshot() ? new HashSet<>(registry.registeredIds()) : new HashSet<>();
-    missing.removeAll(change.registrations().keySet());
-    change
-        .registrations()
-        .forEach(
-            (id, announced) -> {
-              if (announced.isPresent()) {
-                onAnnounced(announced.get(), now);
-              } else {
-                missing.add(id);
-              }
-            });
-    missing.forEach(id -> onMissing(id, now));
-    registry.forgetEnded(now);
+    times.recordSuccess();
+    registered.merge(change, times.requestedAtMs(), now);
     changeListener.run();
     if (regained) {
       storeRegainedListener.run();
     }
     otherRevisionsListener.accept(change.otherRevisions());
   }
-
-  private void onAnnounced(UpstreamRegistration upstream, long now) {
-    registry
-        .announce(upstream, now)
-        .ifPresent(
-            state ->
-                upstreamEvent(upstream.id(), state)
-                    .with("service", upstream.service())
-                    .with("address", upstream.address().toString())
-                    .with("data_centre", upstream.dataCentre())
-                    .with("cold_ms", upstream.warmupRemainingMs())
-                    .write());
-  }
-
-  private void onMissing(String id, long now) {
-    registry
-        .remove(id, outageDetector.renewedAtMs(), now)
-        .ifPresent(state -> upstreamEvent(id, state).write());
-  }
-
-  private EventLine upstreamEvent(String id, RegistrationState state) {
-    return log.event("upstream")
-        .with("id", id)
-        .with("state", state.label())
-        .with("revision", revision);
-  }
 }
