Scheduler: fairness among workspaces

Under overload one workspace took the slots of all others: the queue knew only priority and age.

Within a priority the workspace that used the least slot time lately is served first, and one that was served less than a quarter as often as all goes first. Without workspaces the order is as before (RequestQueueTest).

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
@@ -17,11 +17,13 @@
   private static final long MAX_SLOT_HOLD_MS = 10_000;
 
   private final UpstreamPool upstreams;
+  private final FairShare fairShare;
   private final RolloutPlacements rolloutPlacements;
   private final Map<PlacementKey, Placement> placements = new HashMap<>();
 
-  OpenPlacements(UpstreamPool upstreams, RolloutPlacements rolloutPlacements) {
+  OpenPlacements(UpstreamPool upstreams, FairShare fairShare, RolloutPlacements rolloutPlacements) {
     this.upstreams = upstreams;
+    this.fairShare = fairShare;
     this.rolloutPlacements = rolloutPlacements;
   }
 
@@ -31,8 +33,13 @@
     load.holdSlot(request.key(), expectedProcessingMs, nowMs);
     load.limit().count(nowMs);
     Optional<RequestLimit> limit = load.limit().statement(nowMs);
-    var placement = new Placement(request, load.registration(), limit, nowMs);
+    var placement = new Placement(request, load.registration(), limit, expectedProcessingMs, nowMs);
     placements.put(request.key(), placement);
+    if (request.hedge()) {
+      fairShare.adjust(request.workspace(), expectedProcessingMs, nowMs);
+    } else {
+      fairShare.recordPlaced(request.workspace(), expectedProcessingMs, nowMs);
+    }
     rolloutPlacements.recordPlacement(request, load, nowMs);
     return placement.decision(load, nowMs);
   }
@@ -62,6 +69,7 @@
       return Optional.empty();
     }
     load.ifPresent(l -> l.recordAttempt(attempt, nowMs));
+    placement.correctCharge(fairShare, attempt.outcome(), nowMs);
     if (attempt.outcome() == AttemptOutcome.UNUSED) {
       load.ifPresent(l -> placement.takeOffCount(l, nowMs));
     }
@@ -75,6 +83,7 @@
     if (placement == null) {
       return;
     }
+    placement.correctCharge(fairShare, AttemptOutcome.UNUSED, nowMs);
     findLoad(placement)
         .ifPresent(
             load -> {
@@ -99,6 +108,7 @@
       PlacementRequest request,
       UpstreamRegistration upstream,
       Optional<RequestLimit> limit,
+      double expectedMs,
       long placedAtMs) {
     /** Returns the decision; it says that it was counted only if it was. */
     PlacementDecision decision(UpstreamLoad load, long nowMs) {
@@ -106,6 +116,16 @@
       return new PlacementDecision.Placed(request.key(), load.registration(), agedLimit);
     }
 
+    /**
+     * Charges the workspace with the slot time that was used instead of the expected one. An
+     * abandoned attempt costs at least what was expected, because the upstream may go on with it.
+     */
+    void correctCharge(FairShare fairShare, AttemptOutcome outcome, long nowMs) {
+      double heldMs = outcome == AttemptOutcome.UNUSED ? 0 : nowMs - placedAtMs;
+      double usedMs = outcome == AttemptOutcome.ABANDONED ? Math.max(heldMs, expectedMs) : heldMs;
+      fairShare.adjust(request.workspace(), usedMs - expectedMs, nowMs);
+    }
+
     void takeOffCount(UpstreamLoad load, long nowMs) {
       if (limit.filter(RequestLimit::isLimited).isPresent()) {
         load.limit().takeBack(placedAtMs, nowMs);
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -16,8 +16,8 @@
  * <p>A request is placed on the upstream with a free slot that has the lowest expected response
  * time. While no free slot would let it meet its latency objective, it is queued here rather than
  * at an upstream, so that it gets the first suitable slot of any upstream. If more requests are
- * queued than can meet their objective, the oldest is rejected immediately. Requests that can no
- * longer meet their objective get only the slots that the others do not need.
+ * queued than can meet their objective, the one that would be served last is rejected immediately.
+ * Requests that can no longer meet their objective get only the slots that the others do not need.
  *
  * <p>Invariants: no upstream holds more requests of this scheduler than it has slots. Each
  * placement on an upstream that is known to limit its requests is counted against this scheduler's
@@ -29,10 +29,14 @@
   private static final double ON_TIME_SAFETY_FACTOR = 1.2;
   private static final double MAX_WAIT_SHARE_OF_DEADLINE = 0.4;
 
+  /** Time that a host may take to ask for the placement of a request that has just arrived. */
+  private static final long FIRST_ATTEMPT_TOLERANCE_MS = 2;
+
   private final RolloutPlacements rolloutPlacements = new RolloutPlacements();
   private final UpstreamPool upstreams;
   private final OpenPlacements openPlacements;
-  private final RequestQueue queue = new RequestQueue();
+  private final FairShare fairShare;
+  private final RequestQueue queue;
   private final ProcessingTimes processingTimes = new ProcessingTimes();
   private final ResponseTimeEstimator responseTimeEstimator;
   private final RetryAfterSchedule retryAfterSchedule = new RetryAfterSchedule();
@@ -47,9 +51,15 @@
    *     knowing any load do not all choose the same one
    */
   public Scheduler(SchedulerSettings settings, RandomGenerator random) {
+    this(settings, random, new FairShare());
+  }
+
+  Scheduler(SchedulerSettings settings, RandomGenerator random, FairShare fairShare) {
+    this.fairShare = fairShare;
+    this.queue = new RequestQueue(fairShare);
     this.responseTimeEstimator = new ResponseTimeEstimator(settings, processingTimes);
     this.upstreams = new UpstreamPool(settings, random, responseTimeEstimator, rolloutPlacements);
-    this.openPlacements = new OpenPlacements(upstreams, rolloutPlacements);
+    this.openPlacements = new OpenPlacements(upstreams, fairShare, rolloutPlacements);
   }
 
   /**
@@ -114,6 +124,9 @@
     if (request.hedge()) {
       return List.of(placeHedge(request, nowMs));
     }
+    if (isFirstAttempt(request)) {
+      fairShare.recordAsked(request.workspace(), nowMs);
+    }
     double takenMs = upstreams.timeUntilTakenMs(request, nowMs);
     if (takenMs == Double.POSITIVE_INFINITY) {
       return List.of(reject(request, NO_UPSTREAM_RETRY_AFTER_MS, nowMs));
@@ -136,6 +149,12 @@
     return List.of(new PlacementDecision.Queued(request.key()));
   }
 
+  /** Checks that a request is not a retry: its objective counts from its caller's first attempt. */
+  private static boolean isFirstAttempt(PlacementRequest request) {
+    return request.objectiveRemainingMs()
+        >= request.latencyObjectiveMs() - FIRST_ATTEMPT_TOLERANCE_MS;
+  }
+
   /**
    * Records what an upstream has said about itself to a host.
    *
@@ -174,8 +193,8 @@
   }
 
   /**
-   * Queues a request that can meet its objective. If too many are queued, the oldest gets a slot
-   * that is too slow for all of them, or is rejected if there is none.
+   * Queues a request that can meet its objective. If too many are queued, the one that would be
+   * served last gets a slot that is too slow for all of them, or is rejected if there is none.
    */
   private List<PlacementDecision> enqueueOnTime(PlacementRequest request, long nowMs) {
     queue.add(request, nowMs);
@@ -183,7 +202,7 @@
     decisions.add(new PlacementDecision.Queued(request.key()));
     if (queue.count(queued -> canMeetObjective(queued, nowMs)) > maxOnTimeRequests(request)) {
       queue
-          .removeLast(queued -> canMeetObjective(queued, nowMs))
+          .removeLast(queued -> canMeetObjective(queued, nowMs), nowMs)
           .ifPresent(queued -> decisions.add(placeLateOrReject(queued, nowMs)));
     }
     return decisions;
@@ -352,7 +371,7 @@
     }
     List<PlacementDecision> decisions = new ArrayList<>();
     for (RequestQueue.QueuedRequest queued :
-        queue.inServiceOrder(other -> canMeetObjective(other, nowMs))) {
+        queue.inServiceOrder(other -> canMeetObjective(other, nowMs), nowMs)) {
       tryPlace(queued, nowMs)
           .ifPresent(
               decision -> {
