Quotas: owners are ranked over all usable hosts

Owners were ranked over the hosts that may reach the store, so an owner whose calls to the store failed lost its bucket, and a quota moved several times in an outage; each move refused requests under the quota. An owner needs no store. The ranked hosts are now a constructor argument of SchedulerStandings and SchedulerSelector; placement and the shares of limits keep theirs.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -216,7 +216,7 @@
         new QuotaOwners(
             clock, log, peers, selfHash, hosts::knowsHosts, configuration::activeConfiguration);
     this.quotas =
-        new QuotaClient(loop, clock, log, link, peers, selfHash, quotaOwners, placement::nextKey);
+        new QuotaClient(loop, clock, log, link, selfHash, quotaOwners, placement::nextKey);
     var retryBudget =
         new ForwardingContext.RetryBudget(
             siteBounds.retryWindowMs(),
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LimitShares.java
@@ -24,7 +24,7 @@
    * @param knowsHosts whether this host is registered and has read the other hosts from the store
    */
   public LimitShares(PeerTable peers, int selfHash, BooleanSupplier knowsHosts) {
-    this.standings = new SchedulerStandings(peers, selfHash, knowsHosts);
+    this.standings = new SchedulerStandings(peers, peers::eligibleSchedulers, selfHash, knowsHosts);
   }
 
   /** Returns this host's share for a service, from 0 to 1. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/PlacementClient.java
@@ -85,7 +85,7 @@
     this.schedulers = schedulers;
     this.notices = notices;
     this.selfHash = PeerTable.hash(hostName);
-    this.selector = new SchedulerSelector(clock, peers, selfHash);
+    this.selector = new SchedulerSelector(clock, peers::eligibleSchedulers, selfHash);
     this.lastSequenceNumber = initialSequenceNumber;
     schedulers.onDecision(this::handleLocalDecision);
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaClient.java
@@ -1,6 +1,5 @@
 package dev.cactusstack.gateway.scheduling;
 
-import dev.cactusstack.decisions.gossip.PeerTable;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.gateway.observe.EventLog;
@@ -48,7 +47,6 @@
    * @param clock a monotonic clock, in milliseconds
    * @param log logs which owners are skipped
    * @param link sends messages to other hosts
-   * @param peers tracks which hosts are alive
    * @param selfHash hash of this host's name
    * @param owners this host as an owner
    * @param nextKey supplies keys that are unique in this site
@@ -58,7 +56,6 @@
       LongSupplier clock,
       EventLog log,
       MessageSender link,
-      PeerTable peers,
       int selfHash,
       QuotaOwners owners,
       Supplier<PlacementKey> nextKey) {
@@ -67,7 +64,7 @@
     this.link = link;
     this.owners = owners;
     this.nextKey = nextKey;
-    this.selector = new SchedulerSelector(clock, peers, selfHash);
+    this.selector = new SchedulerSelector(clock, owners::candidates, selfHash);
   }
 
   /**
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.decisions.quotas.QuotaShare;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.Workspace;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -38,6 +40,7 @@
   private final LongSupplier clock;
   private final EventLog log;
   private final Supplier<Optional<SiteConfiguration>> configuration;
+  private final LongFunction<List<HostRegistration>> candidates;
   private final ShareRule shareRule;
   private final SchedulerStandings standings;
   private final Map<String, QuotaBucket> buckets = new HashMap<>();
@@ -64,7 +67,8 @@
       int selfHash,
       BooleanSupplier knowsHosts,
       Supplier<Optional<SiteConfiguration>> configuration) {
-    this(clock, log, peers, selfHash, knowsHosts, configuration, QuotaShare::of);
+    this(
+        clock, log, peers, selfHash, knowsHosts, configuration, peers::usableHosts, QuotaShare::of);
   }
 
   QuotaOwners(
@@ -74,12 +78,14 @@
       int selfHash,
       BooleanSupplier knowsHosts,
       Supplier<Optional<SiteConfiguration>> configuration,
+      LongFunction<List<HostRegistration>> candidates,
       ShareRule shareRule) {
     this.clock = clock;
     this.log = log;
     this.configuration = configuration;
     this.shareRule = shareRule;
-    this.standings = new SchedulerStandings(peers, selfHash, knowsHosts);
+    this.candidates = candidates;
+    this.standings = new SchedulerStandings(peers, candidates, selfHash, knowsHosts);
   }
 
   /** Returns the key under which the owners of a workspace's quota are ranked. */
@@ -87,6 +93,14 @@
     return KEY_PREFIX + workspace;
   }
 
+  /**
+   * Returns the hosts among which owners are ranked. These are all usable hosts: an owner needs no
+   * store, and each move of a quota to another host refuses requests under the quota.
+   */
+  List<HostRegistration> candidates(long nowMs) {
+    return candidates.apply(nowMs);
+  }
+
   /**
    * Decides on a request for a permit of this or another host.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerSelector.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 
 /**
@@ -21,14 +22,22 @@
   private static final long RANKING_TTL_MS = 250;
 
   private final LongSupplier clock;
-  private final PeerTable peers;
+  private final LongFunction<List<HostRegistration>> candidates;
   private final int selfHash;
   private final Map<Address, Long> suspectedAtMs = new HashMap<>();
   private final Map<String, Ranking> rankings = new HashMap<>();
 
-  SchedulerSelector(LongSupplier clock, PeerTable peers, int selfHash) {
+  /**
+   * Creates a selector that suspects no host.
+   *
+   * @param clock a monotonic clock, in milliseconds
+   * @param candidates returns the hosts that are ranked at a time
+   * @param selfHash hash of this host's name
+   */
+  SchedulerSelector(
+      LongSupplier clock, LongFunction<List<HostRegistration>> candidates, int selfHash) {
     this.clock = clock;
-    this.peers = peers;
+    this.candidates = candidates;
     this.selfHash = selfHash;
   }
 
@@ -70,7 +79,7 @@
       return cached.hosts;
     }
     List<HostRegistration> ranked =
-        SchedulerRanking.rank(service, peers.eligibleSchedulers(now), RANKING_SIZE);
+        SchedulerRanking.rank(service, candidates.apply(now), RANKING_SIZE);
     rankings.put(service, new Ranking(ranked, now));
     return ranked;
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +39,7 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final PeerTable peers;
+  private final LongFunction<List<HostRegistration>> candidates;
   private final int selfHash;
   private final BooleanSupplier knowsHosts;
   private final Map<String, Standing> standings = new HashMap<>();
@@ -45,8 +47,21 @@
   private long observedAtMs = NEVER;
   private long noneLostSinceMs = NEVER;
 
-  SchedulerStandings(PeerTable peers, int selfHash, BooleanSupplier knowsHosts) {
+  /**
+   * Creates an instance that has looked at no rank yet.
+   *
+   * @param peers tracks which hosts are alive
+   * @param candidates returns the hosts that are ranked at a time
+   * @param selfHash hash of this host's name
+   * @param knowsHosts whether this host is registered and has read the other hosts from the store
+   */
+  SchedulerStandings(
+      PeerTable peers,
+      LongFunction<List<HostRegistration>> candidates,
+      int selfHash,
+      BooleanSupplier knowsHosts) {
     this.peers = peers;
+    this.candidates = candidates;
     this.selfHash = selfHash;
     this.knowsHosts = knowsHosts;
   }
@@ -90,13 +105,13 @@
   }
 
   /**
-   * Observes which hosts are eligible. A host that is the first for a key at the first look has
-   * been so for as long as no other host was lost, because hosts that join can only rank before it.
+   * Observes which hosts are ranked. A host that is the first for a key at the first look has been
+   * so for as long as no other host was lost, because hosts that join can only rank before it.
    * Without regular calls, a host counts as the first from its first look.
    */
   void observe(long nowMs) {
     Set<String> hosts = new HashSet<>();
-    peers.eligibleSchedulers(nowMs).forEach(host -> hosts.add(host.name()));
+    candidates.apply(nowMs).forEach(host -> hosts.add(host.name()));
     boolean interrupted = nowMs - observedAtMs > MAX_GAP_MS || !knowsHosts.getAsBoolean();
     boolean most =
         isMost(peers.usableHosts(nowMs).size(), peers.countUsableWithin(KNOWN_WITHIN_MS, nowMs));
@@ -117,7 +132,7 @@
 
   private int rank(String key, long nowMs) {
     List<HostRegistration> ranking =
-        SchedulerRanking.rank(key, peers.eligibleSchedulers(nowMs), RANKS_WITH_A_SHARE);
+        SchedulerRanking.rank(key, candidates.apply(nowMs), RANKS_WITH_A_SHARE);
     for (int i = 0; i < ranking.size(); i++) {
       if (PeerTable.hash(ranking.get(i).name()) == selfHash) {
         return i;
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
@@ -121,7 +121,6 @@
           () -> 0L,
           log,
           this::send,
-          peers,
           HASH,
           new QuotaOwners(() -> 0L, log, peers, HASH, () -> true, Optional::empty),
           placement::nextKey);
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -122,7 +122,6 @@
               () -> 0L,
               log,
               new Link(channel.eventLoop(), log),
-              peers,
               PeerTable.hash("self"),
               new QuotaOwners(
                   () -> 0L, log, peers, PeerTable.hash("self"), () -> true, Optional::empty),
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaReplayTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaReplayTest.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.quotas.QuotaShare;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -45,6 +49,36 @@
     assertThat(hosts.messages).isLessThanOrEqualTo(2L * hosts.ranAtMs.size());
   }
 
+  /**
+   * Guards against an owner that changes, and loses its bucket, when its calls to the store fail.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {18, 92, 150})
+  void shouldRefuseNothingWhenTheStoreFailsForTheOwnersOneAfterAnother(int count) {
+    assertThat(storeFailing(count, false).refusedAtMs).isEmpty();
+    assertThat(storeFailing(count, true).refusedAtMs).isNotEmpty();
+  }
+
+  private static QuotaSimulation storeFailing(int count, boolean ranksByStore) {
+    QuotaSimulation hosts = settled(count, RULE);
+    hosts.ranksByStore = ranksByStore;
+    hosts.lostShare = 0;
+    hosts.doubledShare = 0;
+    hosts.run(3_000, 0.6 * RATE);
+    Set<Integer> failing = new HashSet<>();
+    hosts.storeContact =
+        host -> failing.contains(host) ? StoreContact.FAILING : StoreContact.CONFIRMED;
+    for (int i = 0; i < 2; i++) {
+      failing.add(hosts.owner().index);
+      hosts.run(3_000, 0.6 * RATE);
+    }
+    IntStream.range(0, count).forEach(failing::add);
+    hosts.run(3_000, 0.6 * RATE);
+    failing.clear();
+    hosts.run(5_000, 0.6 * RATE);
+    return hosts;
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {18, 92, 150})
   void shouldKeepTheQuotaWhenAWorkspaceSendsFarMoreThanUsual(int count) {
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
@@ -22,6 +22,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import java.util.function.IntFunction;
+import java.util.function.LongFunction;
 
 /**
  * Hosts that gossip and request permits of one workspace in virtual time, with the code of the
@@ -42,6 +44,8 @@
   double unusedShare;
   boolean ownersFollowChanges = true;
   boolean asksOwner = true;
+  boolean ranksByStore;
+  IntFunction<StoreContact> storeContact = host -> StoreContact.CONFIRMED;
   BiPredicate<Integer, Integer> connected = (a, b) -> true;
 
   private final Random random;
@@ -140,14 +144,14 @@
     void start(long incarnation) {
       peers = new PeerTable("h" + index, 3_500, new Random(random.nextLong()));
       int hash = PeerTable.hash("h" + index);
-      owners = new QuotaOwners(() -> nowMs, log, peers, hash, () -> true, () -> own, rule);
+      owners =
+          new QuotaOwners(() -> nowMs, log, peers, hash, () -> true, () -> own, candidates(), rule);
       client =
           new QuotaClient(
               channel.eventLoop(),
               () -> nowMs,
               log,
               this::send,
-              peers,
               hash,
               owners,
               () -> new PlacementKey(index, ++lastKey));
@@ -158,6 +162,11 @@
       }
     }
 
+    private LongFunction<List<HostRegistration>> candidates() {
+      PeerTable table = peers;
+      return at -> ranksByStore ? table.eligibleSchedulers(at) : table.usableHosts(at);
+    }
+
     void stop() {
       running = false;
     }
@@ -172,7 +181,7 @@
         return;
       }
       if ((nowMs + gossipOffsetMs) % 400 == 0) {
-        List<HeartbeatState> states = peers.startRound(StoreContact.CONFIRMED, true, nowMs);
+        List<HeartbeatState> states = peers.startRound(storeContact.apply(index), true, nowMs);
         for (HostRegistration target : peers.gossipTargets(3, nowMs)) {
           Host to = byAddress.get(target.linkAddress());
           deliver(to, () -> to.peers.mergeHeartbeats(states, nowMs));
