Quotas: the second's bucket starts with what has accrued

The second's bucket was created empty by the first request that it got, so it refused every request at the first silence of an owner, also under the quota. It now starts with one permit and what has accrued since the usable hosts last changed; parts of a minority or a restart still start empty.

--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -43,24 +43,38 @@
   }
 
   /**
-   * Creates a bucket of a host that has just become the first: earlier use is unknown, so there is
-   * one permit, or none with a share below a half, as many hosts may have such shares at once.
+   * Creates a bucket of a host that has become the first or second: earlier use is unknown, so
+   * there is one permit and what has accrued since.
    *
    * @param requestsPerSecond the quota of the workspace over all hosts
    * @param burst the burst of the workspace over all hosts
    * @param share this host's share, from 0 to 1
-   * @param sinceMs the time at which this host became the first, on a monotonic clock, in
-   *     milliseconds
+   * @param sinceMs the time at which this host got its rank, on a monotonic clock, in milliseconds
    * @return the bucket
    */
   public static QuotaBucket takenOver(
       double requestsPerSecond, double burst, double share, long sinceMs) {
-    var taken = new QuotaBucket(sinceMs);
-    taken.setRate(requestsPerSecond, burst, share, sinceMs);
-    taken.bucket.putBack(share >= 0.5 ? PERMIT : 0, sinceMs);
+    QuotaBucket taken = empty(requestsPerSecond, burst, share, sinceMs);
+    taken.bucket.putBack(PERMIT, sinceMs);
     return taken;
   }
 
+  /**
+   * Creates a bucket without permits, of one of many hosts that may have a share at once.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param share this host's share, from 0 to 1
+   * @param sinceMs the time from which permits accrue, on a monotonic clock, in milliseconds
+   * @return the bucket
+   */
+  public static QuotaBucket empty(
+      double requestsPerSecond, double burst, double share, long sinceMs) {
+    var empty = new QuotaBucket(sinceMs);
+    empty.setRate(requestsPerSecond, burst, share, sinceMs);
+    return empty;
+  }
+
   /**
    * Creates a full bucket, of a host that knows all earlier use.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
@@ -34,7 +34,8 @@
   void shouldStartWithOnePermitWhenTakenOver() {
     assertThat(grantAll(QuotaBucket.takenOver(10, 20, 0.5, 0), 0)).isEqualTo(1);
     assertThat(grantAll(QuotaBucket.takenOver(10, 20, 1, 0), 0)).isEqualTo(1);
-    assertThat(grantAll(QuotaBucket.takenOver(10, 20, 0.1, 0), 0)).isZero();
+    assertThat(grantAll(QuotaBucket.takenOver(10, 20, 0.1, 0), 0)).isEqualTo(1);
+    assertThat(grantAll(QuotaBucket.empty(10, 20, 0.1, 0), 0)).isZero();
     assertThat(grantAll(QuotaBucket.full(10, 20, 1, 0), 0)).isEqualTo(20);
   }
 
@@ -48,7 +49,7 @@
   @Test
   void shouldGrantAPermitWhenTheBurstIsBelowOne() {
     assertThat(grantAll(QuotaBucket.full(1, 0, 1, 0), 0)).isEqualTo(1);
-    QuotaBucket second = QuotaBucket.takenOver(1, 2, 0.1, 0);
+    QuotaBucket second = QuotaBucket.empty(1, 2, 0.1, 0);
     assertThat(second.request(key(), 9_999).isGranted()).isFalse();
     assertThat(second.request(key(), 10_000).isGranted()).isTrue();
   }
@@ -160,9 +161,9 @@
 
   @Test
   void shouldNotPromiseBeyondTheLongestTime() {
-    QuotaBucket bucket = QuotaBucket.takenOver(0.001, 1, 0.1, 0);
+    QuotaBucket bucket = QuotaBucket.empty(0.001, 1, 0.1, 0);
     assertThat(bucket.request(key(), 0).retryAfterMs()).isEqualTo(QuotaBucket.MAX_RETRY_AFTER_MS);
-    QuotaBucket none = QuotaBucket.takenOver(1, 1, 0, 0);
+    QuotaBucket none = QuotaBucket.empty(1, 1, 0, 0);
     assertThat(none.request(key(), 0).retryAfterMs()).isEqualTo(QuotaBucket.MAX_RETRY_AFTER_MS);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -30,6 +30,9 @@
   /** Time after which a caller tries again that meets no host with a share, in milliseconds. */
   static final long RETRY_WITHOUT_SHARE_MS = 1_000;
 
+  /** Many hosts may have smaller shares as the first at once; their buckets start empty. */
+  private static final double MIN_SHARE_WITH_A_PERMIT = 0.5;
+
   private static final String KEY_PREFIX = "quota/";
 
   /** Computes a share; see {@link QuotaShare#of}. */
@@ -198,8 +201,15 @@
     if (knowsAllUse) {
       return QuotaBucket.full(rate, workspace.burst(), share, nowMs);
     }
-    long sinceMs = standing.isFirst() ? standing.leadingSinceMs() : nowMs;
-    return QuotaBucket.takenOver(rate, workspace.burst(), share, sinceMs);
+    if (standing.isFirst()) {
+      return share < MIN_SHARE_WITH_A_PERMIT
+          ? QuotaBucket.empty(rate, workspace.burst(), share, standing.leadingSinceMs())
+          : QuotaBucket.takenOver(rate, workspace.burst(), share, standing.leadingSinceMs());
+    }
+    // After a restart of all hosts, many are for a moment the second of the few that they hear of.
+    return standing.longestRunningMs() <= QuotaShare.SETTLING_MS
+        ? QuotaBucket.empty(rate, workspace.burst(), share, nowMs)
+        : QuotaBucket.takenOver(rate, workspace.burst(), share, standings.unchangedSinceMs(nowMs));
   }
 
   /** Handles a change of the configuration in force. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/SchedulerStandings.java
@@ -46,6 +46,7 @@
   private Set<String> observedHosts = Set.of();
   private long observedAtMs = NEVER;
   private long noneLostSinceMs = NEVER;
+  private long unchangedSinceMs = NEVER;
 
   /**
    * Creates an instance that has looked at no rank yet.
@@ -118,10 +119,22 @@
     if (interrupted || !most || !hosts.containsAll(observedHosts)) {
       noneLostSinceMs = nowMs;
     }
+    if (interrupted || !most || !hosts.equals(observedHosts)) {
+      unchangedSinceMs = nowMs;
+    }
     observedHosts = hosts;
     observedAtMs = nowMs;
   }
 
+  /**
+   * Returns since when the ranked hosts, and so all ranks, have been the same, and this host has
+   * heard of most hosts. Without regular observations, this is now.
+   */
+  long unchangedSinceMs(long nowMs) {
+    observe(nowMs);
+    return unchangedSinceMs;
+  }
+
   private long firstSinceObserved(@Nullable Standing last, long nowMs) {
     if (nowMs - observedAtMs > MAX_GAP_MS) {
       return nowMs;
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
@@ -89,6 +89,23 @@
     assertThat(site.ranAtMs.size() + site.refusedAtMs.size()).isEqualTo(2);
   }
 
+  /** Guards against refusals under the quota whenever the owner is silent for the first time. */
+  @Test
+  void shouldGrantWhatHasAccruedWhenTheSecondIsAskedForTheFirstTime() {
+    site.setQuota(20, 30);
+    QuotaSimulation.Host host = other();
+    int owner = site.owner().index;
+    site.connected = (from, to) -> to != owner;
+    for (int i = 0; i < 3; i++) {
+      host.request();
+    }
+    site.run(85 + ROUND_TRIP_MS, 0);
+    assertThat(site.ranAtMs).hasSize(3);
+    host.request();
+    site.run(ROUND_TRIP_MS, 0);
+    assertThat(site.refusedAtMs).hasSize(1);
+  }
+
   @Test
   void shouldDecideByItsOwnShareWhenNobodyAnswers() {
     QuotaSimulation.Host host = other();
