Quotas: Retry-After is at most 5 s, and 1 s without the whole share

A promise could be 60 s away, while callers honour only a part of their remaining time and shares change within seconds.

--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -25,10 +25,17 @@
 
   static final int MAX_KEYS = 2_000;
 
-  /** Longest promise; later ones begin again with the next permit. */
-  static final long MAX_RETRY_AFTER_MS = 60_000;
+  /**
+   * Longest promise, the window of the quota; later ones begin again with the next permit. Callers
+   * honour at most a part of their remaining time.
+   */
+  static final long MAX_RETRY_AFTER_MS = 5_000;
+
+  /** Longest promise without the whole share, which changes within seconds. */
+  static final long MAX_RETRY_AFTER_PARTIAL_MS = 1_000;
 
   private static final double PERMIT = 1;
+  private static final double WHOLE_SHARE = 1;
   private static final double MS_PER_SECOND = 1_000;
 
   private final TokenBucket bucket;
@@ -147,17 +154,18 @@
 
   /** Returns the time until the next permit that is not promised to another caller. */
   private long promiseNextPermit(long nowMs) {
+    long maxMs = share < WHOLE_SHARE ? MAX_RETRY_AFTER_PARTIAL_MS : MAX_RETRY_AFTER_MS;
     if (permitsPerSecond == 0) {
-      return MAX_RETRY_AFTER_MS;
+      return maxMs;
     }
     double intervalMs = MS_PER_SECOND / permitsPerSecond;
     double nextPermitAtMs = nowMs + (PERMIT - bucket.available(nowMs)) * intervalMs;
     double promisedAtMs = Math.max(nextPermitAtMs, lastPromisedAtMs + intervalMs);
-    if (promisedAtMs > nowMs + MAX_RETRY_AFTER_MS) {
+    if (promisedAtMs > nowMs + maxMs) {
       promisedAtMs = nextPermitAtMs;
     }
     lastPromisedAtMs = promisedAtMs;
-    return (long) Math.min(MAX_RETRY_AFTER_MS, Math.ceil(promisedAtMs - nowMs));
+    return (long) Math.min(maxMs, Math.ceil(promisedAtMs - nowMs));
   }
 
   /**
