--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -25,10 +25,17 @@
 
   static final int MAX_KEYS = 2_000;
 
-  /** Longest promise; later ones begin again with the next permit. */
-  static final long MAX_RETRY_AFTER_MS = 60_000;
+  /**
+   * Longest promise, the window of the quota; later ones begin again with the next permit. Callers
+   * honour at most a part of their remaining time.
+   */
+  static final long MAX_RETRY_AFTER_MS = 5_000;
+
+  /** Longest promise without the whole share, which changes within seconds. */
+  static final long MAX_RETRY_AFTER_PARTIAL_MS = 1_000;
 
   private static final double PERMIT = 1;
+  private static final double WHOLE_SHARE = 1;
   private static final double MS_PER_SECOND = 1_000;
 
   private final TokenBucket bucket;
@@ -43,24 +50,38 @@
   }
 
   /**
-   * Creates a bucket of a host that has just become the first: earlier use is unknown, so there is
-   * one permit, or none with a share below a half, as many hosts may have such shares at once.
+   * Creates a bucket of a host that has become the first or second: earlier use is unknown, so
+   * there is one permit and what has accrued since.
    *
    * @param requestsPerSecond the quota of the workspace over all hosts
    * @param burst the burst of the workspace over all hosts
    * @param share this host's share, from 0 to 1
-   * @param sinceMs the time at which this host became the first, on a monotonic clock, in
-   *     milliseconds
+   * @param sinceMs the time at which this host got its rank, on a monotonic clock, in milliseconds
    * @return the bucket
    */
   public static QuotaBucket takenOver(
       double requestsPerSecond, double burst, double share, long sinceMs) {
-    var taken = new QuotaBucket(sinceMs);
-    taken.setRate(requestsPerSecond, burst, share, sinceMs);
-    taken.bucket.putBack(share >= 0.5 ? PERMIT : 0, sinceMs);
+    QuotaBucket taken = empty(requestsPerSecond, burst, share, sinceMs);
+    taken.bucket.putBack(PERMIT, sinceMs);
     return taken;
   }
 
+  /**
+   * Creates a bucket without permits, of one of many hosts that may have a share at once.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param share this host's share, from 0 to 1
+   * @param sinceMs the time from which permits accrue, on a monotonic clock, in milliseconds
+   * @return the bucket
+   */
+  public static QuotaBucket empty(
+      double requestsPerSecond, double burst, double share, long sinceMs) {
+    var empty = new QuotaBucket(sinceMs);
+    empty.setRate(requestsPerSecond, burst, share, sinceMs);
+    return empty;
+  }
+
   /**
    * Creates a full bucket, of a host that knows all earlier use.
    *
@@ -133,17 +154,18 @@
 
   /** Returns the time until the next permit that is not promised to another caller. */
   private long promiseNextPermit(long nowMs) {
+    long maxMs = share < WHOLE_SHARE ? MAX_RETRY_AFTER_PARTIAL_MS : MAX_RETRY_AFTER_MS;
     if (permitsPerSecond == 0) {
-      return MAX_RETRY_AFTER_MS;
+      return maxMs;
     }
     double intervalMs = MS_PER_SECOND / permitsPerSecond;
     double nextPermitAtMs = nowMs + (PERMIT - bucket.available(nowMs)) * intervalMs;
     double promisedAtMs = Math.max(nextPermitAtMs, lastPromisedAtMs + intervalMs);
-    if (promisedAtMs > nowMs + MAX_RETRY_AFTER_MS) {
+    if (promisedAtMs > nowMs + maxMs) {
       promisedAtMs = nextPermitAtMs;
     }
     lastPromisedAtMs = promisedAtMs;
-    return (long) Math.min(MAX_RETRY_AFTER_MS, Math.ceil(promisedAtMs - nowMs));
+    return (long) Math.min(maxMs, Math.ceil(promisedAtMs - nowMs));
   }
 
   /**
