Quotas: more permits right after a loss of all hosts; a key that moves needs the permit of its new workspace

Found by review, by reading: - after a loss of all hosts a bucket began with one permit, so that callers who came back at once were refused under their quota; it now begins with its share of min(burst, half a second of the rate + 10). The bound is shown in docs/design/quotas.md. - a bucket that is created late accrued at the whole share also for the 4 s in which the host had only half of it (row 2 of the bound). - a request whose key moved to another workspace while it waited ran there without a permit; it now gets 503 and Retry-After. Each has a test but the second.

--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -35,6 +35,8 @@
   static final long MAX_RETRY_AFTER_PARTIAL_MS = 1_000;
 
   private static final double PERMIT = 1;
+  private static final double RESTART_RATE_S = 0.5;
+  private static final double RESTART_PERMITS = 10;
   private static final double WHOLE_SHARE = 1;
   private static final double MS_PER_SECOND = 1_000;
 
@@ -82,6 +84,25 @@
     return empty;
   }
 
+  /**
+   * Creates a bucket of a host that started after all hosts were lost. As no host granted anything
+   * meanwhile, the callers that come back at once get what half a second of the rate and {@value
+   * #RESTART_PERMITS} permits allow, within the burst: the bound on all permits has room for that.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @param share this host's share, from 0 to 1
+   * @param sinceMs the time from which permits accrue, on a monotonic clock, in milliseconds
+   * @return the bucket
+   */
+  public static QuotaBucket restarted(
+      double requestsPerSecond, double burst, double share, long sinceMs) {
+    QuotaBucket restarted = empty(requestsPerSecond, burst, share, sinceMs);
+    double allowed = RESTART_RATE_S * requestsPerSecond + RESTART_PERMITS;
+    restarted.bucket.putBack(share * Math.min(burst, allowed), sinceMs);
+    return restarted;
+  }
+
   /**
    * Creates a full bucket, of a host that knows all earlier use.
    *
--- a/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
@@ -242,4 +242,12 @@
       ranAtMs.add(now);
     }
   }
+
+  /** Guards against callers that are refused under the quota right after a loss of all hosts. */
+  @Test
+  void shouldStartWithHalfASecondOfTheRateWhenAllHostsWereLost() {
+    assertThat(QuotaBucket.restarted(60, 100, 1, 0).available(0)).isEqualTo(40);
+    assertThat(QuotaBucket.restarted(60, 20, 1, 0).available(0)).isEqualTo(20);
+    assertThat(QuotaBucket.restarted(60, 100, 0.25, 0).available(0)).isEqualTo(10);
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -210,7 +210,11 @@
     }
     CallerAuthentication.Verdict verdict = context.authentication().check(route, request.headers());
     if (!verdict.allowed()) {
-      refuseRevokedKey(p);
+      refuseChangedKey(p, Refusal.UNAUTHORIZED);
+      return;
+    }
+    if (needsAnotherPermit(verdict.workspace())) {
+      refuseChangedKey(p, Refusal.KEY_UNCHECKED);
       return;
     }
     UpstreamNotices.Permission permission = notices().permission(p, now());
@@ -229,14 +233,20 @@
     send(p, verdict.workspace());
   }
 
+  /** Checks whether the key has moved to a workspace with a quota that granted no permit. */
+  private boolean needsAnotherPermit(Optional<Workspace> current) {
+    return current.filter(Workspace::hasQuota).isPresent()
+        && !current.map(Workspace::name).equals(workspace.map(Workspace::name));
+  }
+
   /**
-   * Returns a placement, because the key was revoked after the request arrived. A running attempt
-   * goes on.
+   * Returns a placement, because the key was revoked or has moved after the request arrived. A
+   * running attempt goes on.
    */
-  private void refuseRevokedKey(PlacementDecision.Placed p) {
+  private void refuseChangedKey(PlacementDecision.Placed p, Refusal refusal) {
     report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
     if (activeAttempts.isEmpty()) {
-      giveUp(Refusal.UNAUTHORIZED, RETRY_AFTER_MS);
+      giveUp(refusal, RETRY_AFTER_MS);
     }
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -201,10 +201,13 @@
     if (knowsAllUse) {
       return QuotaBucket.full(rate, workspace.burst(), share, nowMs);
     }
+    if (standing.isFirst() && standing.longestRunningMs() <= QuotaShare.SETTLING_MS) {
+      return QuotaBucket.restarted(rate, workspace.burst(), share, standing.leadingSinceMs());
+    }
     if (standing.isFirst()) {
       return share < MIN_SHARE_WITH_A_PERMIT
           ? QuotaBucket.empty(rate, workspace.burst(), share, standing.leadingSinceMs())
-          : QuotaBucket.takenOver(rate, workspace.burst(), share, standing.leadingSinceMs());
+          : QuotaBucket.takenOver(rate, workspace.burst(), share, accruingSinceMs(standing, nowMs));
     }
     // After a restart of all hosts, many are for a moment the second of the few that they hear of.
     return standing.longestRunningMs() <= QuotaShare.SETTLING_MS
@@ -212,6 +215,12 @@
         : QuotaBucket.takenOver(rate, workspace.burst(), share, standings.unchangedSinceMs(nowMs));
   }
 
+  /** Counts the time in which the host had only half of its share for half. */
+  private static long accruingSinceMs(SchedulerStandings.Standing standing, long nowMs) {
+    long settlingMs = Math.min(QuotaShare.SETTLING_MS, nowMs - standing.leadingSinceMs());
+    return standing.leadingSinceMs() + settlingMs / 2;
+  }
+
   /** Handles a change of the configuration in force. */
   public void onConfigurationChanged() {
     SiteConfiguration current = configuration.get().orElse(null);
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -28,6 +28,7 @@
 import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.ApiKeyDigest;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.RequestKind;
 import dev.cactusstack.model.site.RouteRule;
@@ -74,7 +75,16 @@
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
   private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
-  private final UpstreamHeaders headers = stub(UpstreamHeaders.class);
+  private Optional<ApiKeyDigest> apiKey = Optional.empty();
+  private final UpstreamHeaders headers =
+      (UpstreamHeaders)
+          Proxy.newProxyInstance(
+              UpstreamHeaders.class.getClassLoader(),
+              new Class<?>[] {UpstreamHeaders.class},
+              (proxy, method, args) ->
+                  method.getName().equals("apiKey")
+                      ? apiKey
+                      : method.invoke(stub(UpstreamHeaders.class), args));
   private final NoticeReader noticeReader = new NoticeReader(() -> 0L, log, headers);
   private final HttpClient client =
       new HttpClient(
@@ -263,14 +273,14 @@
     assertThat(forwardWithPlacement()).contains("event=sent");
   }
 
-  private void revokeKeyBeforePlacement() {
+  private void revokeKeyBeforePlacement(Workspace... inForceLater) {
     channel.freezeTime();
     register("self", new Address("127.0.0.1", 8), 600);
     register("scheduler", SCHEDULER, 6_000);
     var acme = new Workspace("acme", Set.of(), OptionalInt.empty(), 0, 0);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
     new ForwardedRequest(context, request, "id", ROUTE, Optional.of(acme), responses::add).start();
-    keys = new WorkspaceKeys(List.of(acme));
+    keys = new WorkspaceKeys(inForceLater.length == 0 ? List.of(acme) : List.of(inForceLater));
     decide(
         new PlacementDecision.Placed(
             new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, Optional.empty()));
@@ -303,4 +313,20 @@
         .singleElement()
         .satisfies(response -> assertThat(response.status()).isEqualTo(401));
   }
+
+  /** Guards against a request that runs for a workspace that granted no permit for it. */
+  @Test
+  void shouldAnswer503WhenTheKeyMovedToAWorkspaceWithAQuotaWhileTheRequestWaited() {
+    apiKey = Optional.of(ApiKeyDigest.of("key"));
+    revokeKeyBeforePlacement(
+        new Workspace("other", Set.of(apiKey.get()), OptionalInt.empty(), 5, 5));
+    assertThat(responses)
+        .singleElement()
+        .satisfies(
+            response -> {
+              assertThat(response.status()).isEqualTo(503);
+              assertThat(response.headers().contains("Retry-After")).isTrue();
+            });
+    assertThat(output.toString(StandardCharsets.UTF_8)).doesNotContain("event=sent");
+  }
 }
