Placements carry the expected response time

A host that hedges needs to know how long the chosen upstream is expected to take. The scheduler has this value when it places a request and dropped it. PlacementDecision.Placed has expectedMs now; the decisions are unchanged.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
@@ -25,13 +25,22 @@
     this.rolloutPlacements = rolloutPlacements;
   }
 
-  /** Places a request on an upstream that takes it now. */
+  /**
+   * Places a request on an upstream that takes it now.
+   *
+   * @param expectedProcessingMs processing time on an undisturbed upstream
+   * @param expectedMs time until the response of this upstream
+   */
   PlacementDecision place(
-      PlacementRequest request, UpstreamLoad load, double expectedProcessingMs, long nowMs) {
+      PlacementRequest request,
+      UpstreamLoad load,
+      double expectedProcessingMs,
+      double expectedMs,
+      long nowMs) {
     load.holdSlot(request.key(), expectedProcessingMs, nowMs);
     load.limit().count(nowMs);
     Optional<RequestLimit> limit = load.limit().statement(nowMs);
-    var placement = new Placement(request, load.registration(), limit, nowMs);
+    var placement = new Placement(request, load.registration(), limit, expectedMs, nowMs);
     placements.put(request.key(), placement);
     rolloutPlacements.recordPlacement(request, load, nowMs);
     return placement.decision(load, nowMs);
@@ -99,11 +108,13 @@
       PlacementRequest request,
       UpstreamRegistration upstream,
       Optional<RequestLimit> limit,
+      double expectedMs,
       long placedAtMs) {
     /** Returns the decision; it says that it was counted only if it was. */
     PlacementDecision decision(UpstreamLoad load, long nowMs) {
       Optional<RequestLimit> agedLimit = limit.map(said -> said.agedBy(nowMs - placedAtMs));
-      return new PlacementDecision.Placed(request.key(), load.registration(), agedLimit);
+      return new PlacementDecision.Placed(
+          request.key(), load.registration(), agedLimit, Math.max(1, Math.round(expectedMs)));
     }
 
     void takeOffCount(UpstreamLoad load, long nowMs) {
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementDecision.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/PlacementDecision.java
@@ -21,9 +21,26 @@
    * @param upstream the upstream to send the request to
    * @param limit what the scheduler knows of the upstream's limit; if it is limited, the placement
    *     was counted against the limit
+   * @param expectedMs the time until the response that the scheduler expects, in milliseconds; 0 if
+   *     it is not known
    */
-  record Placed(PlacementKey key, UpstreamRegistration upstream, Optional<RequestLimit> limit)
+  record Placed(
+      PlacementKey key,
+      UpstreamRegistration upstream,
+      Optional<RequestLimit> limit,
+      long expectedMs)
       implements PlacementDecision {
+    /**
+     * Creates a placement with an unknown response time.
+     *
+     * @param key the placement request
+     * @param upstream the upstream to send the request to
+     * @param limit what the scheduler knows of the upstream's limit
+     */
+    public Placed(PlacementKey key, UpstreamRegistration upstream, Optional<RequestLimit> limit) {
+      this(key, upstream, limit, 0);
+    }
+
     /**
      * Creates a placement on an upstream that has named no limit.
      *
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -391,7 +391,8 @@
 
   private PlacementDecision place(PlacementRequest request, UpstreamLoad best, long nowMs) {
     double processingMs = responseTimeEstimator.processingMs(request);
-    return openPlacements.place(request, best, processingMs, nowMs);
+    double expectedMs = upstreams.responseMs(best, request, nowMs);
+    return openPlacements.place(request, best, processingMs, expectedMs, nowMs);
   }
 
   private double expectedWaitMs(PlacementRequest request) {
