Hosts: limit on hedges

Operators allow extra work within a limit, the settings object hedging (max_request_share, max_work_share). Each host enforces it for its own requests, so the sum over hosts keeps it. Placements carry the expected response time to other hosts (link format 8). When one copy has answered, the others are aborted and their slots released. Without the setting, hedges are sent as before. Log lines and metrics name hedges.

--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
+import dev.cactusstack.decisions.retries.HedgeBudget;
 import dev.cactusstack.gateway.callers.CallerAuthentication;
 import dev.cactusstack.gateway.callers.CallerListener;
 import dev.cactusstack.gateway.callers.ForwardingContext;
@@ -237,6 +238,9 @@
             quotas,
             noticeReader,
             retryBudget,
+            settings
+                .hedging()
+                .map(limit -> new HedgeBudget(limit.maxRequestShare(), limit.maxWorkShare())),
             gatewayMetrics);
     Endpoints siteEndpoints = endpoints.apply(this);
     this.callers = createPort(List.of(new ForwardingHandler(configuration, tools)));
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardedRequest.java
@@ -9,7 +9,7 @@
 import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.decisions.placing.UpstreamNotices;
 import dev.cactusstack.decisions.quotas.QuotaDecision;
-import dev.cactusstack.decisions.retries.HedgeDelay;
+import dev.cactusstack.decisions.retries.HedgeBudget;
 import dev.cactusstack.gateway.net.Exchange;
 import dev.cactusstack.gateway.net.ExchangeResult;
 import dev.cactusstack.gateway.net.OutgoingRequest;
@@ -119,6 +119,7 @@
 
   private void admit() {
     context.retryWindows(service).recordRequest(now());
+    context.hedgeLimit().recordRequest(now());
     requestSlot(false);
   }
 
@@ -218,7 +219,16 @@
       decline(p, permission);
       return;
     }
+    boolean isHedge = !activeAttempts.isEmpty();
+    double expectedMs = isHedge ? context.hedgeLimit().countedMs(expectedMs(p)) : expectedMs(p);
+    if (isHedge && !isAllowed(context.hedgeLimit().tryAcquire(expectedMs, now()))) {
+      report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
+      return;
+    }
     if (isRetry && !tryAcquireRetryBudget()) {
+      if (isHedge) {
+        context.hedgeLimit().giveBack(expectedMs);
+      }
       report(p.key(), p.upstream(), AttemptOutcome.UNUSED, 0, Optional.empty());
       event("no_repeat").with("why", "budget").write();
       if (activeAttempts.isEmpty()) {
@@ -226,7 +236,26 @@
       }
       return;
     }
-    send(p, verdict.workspace());
+    send(p, isHedge, expectedMs, verdict.workspace());
+  }
+
+  /** Logs and counts a hedge that the limit on hedges does not allow. */
+  private boolean isAllowed(HedgeBudget.Decision decision) {
+    if (decision == HedgeBudget.Decision.ALLOWED) {
+      return true;
+    }
+    String reason = decision.name().toLowerCase(Locale.ROOT);
+    event("hedge_refused").with("why", reason).write();
+    figures().recordHedge("refused_" + reason);
+    return false;
+  }
+
+  private double expectedMs(PlacementDecision.Placed p) {
+    return p.expectedMs() > 0 ? p.expectedMs() : typicalMs();
+  }
+
+  private double typicalMs() {
+    return context.processingTimes().estimateMs(route.name(), route.latencyObjectiveMs());
   }
 
   /**
@@ -267,7 +296,11 @@
     return allowed;
   }
 
-  private void send(PlacementDecision.Placed p, Optional<Workspace> currentWorkspace) {
+  private void send(
+      PlacementDecision.Placed p,
+      boolean isHedge,
+      double expectedMs,
+      Optional<Workspace> currentWorkspace) {
     UpstreamRegistration u = p.upstream();
     sends++;
     triedUpstreams.add(u.id());
@@ -278,8 +311,11 @@
       context.wire().replaceCredentials(headers, currentWorkspace.map(Workspace::name).orElse(""));
     }
     context.wire().addUpstreamHeaders(headers, remainingMs(), u.id());
-    var attempt = new Attempt(p.key(), u, now());
+    var attempt = new Attempt(p.key(), u, isHedge, expectedMs, now());
     activeAttempts.add(attempt);
+    if (isHedge) {
+      figures().recordHedge("sent");
+    }
     figures().recordSentAttempt(now() - request.arrivedAtMs());
     event("sent")
         .with("upstream", u.id())
@@ -307,22 +343,19 @@
                 remainingMs() + EXCHANGE_TIMEOUT_MARGIN_MS,
                 reply -> handleAttemptEnd(attempt, reply));
     if (sends == 1 && route.kind().idempotent() && route.maxAttempts() > 1) {
-      hedgeTimer = context.loop().schedule(this::hedge, hedgeDelayMs(), TimeUnit.MILLISECONDS);
+      long delayMs =
+          context.hedgeLimit().delayMs(p.expectedMs(), typicalMs(), objectiveAtMs - now());
+      hedgeTimer = context.loop().schedule(this::hedge, delayMs, TimeUnit.MILLISECONDS);
     }
   }
 
-  private long hedgeDelayMs() {
-    double typicalMs =
-        context.processingTimes().estimateMs(route.name(), route.latencyObjectiveMs());
-    return HedgeDelay.delayMs(typicalMs, objectiveAtMs - now());
-  }
-
   /** Sends the request to a second upstream if the first has not responded yet. */
   private void hedge() {
     if (!done
         && pendingPlacement == null
         && activeAttempts.size() == 1
-        && possibleExecutions + 1 < route.maxAttempts()) {
+        && possibleExecutions + 1 < route.maxAttempts()
+        && isAllowed(context.hedgeLimit().check(typicalMs(), now()))) {
       event("hedge").with("after_ms", now() - activeAttempts.get(0).startedAtMs).write();
       requestSlot(true);
     }
@@ -330,6 +363,7 @@
 
   private void handleAttemptEnd(Attempt a, ExchangeResult result) {
     activeAttempts.remove(a);
+    recordUpstreamTime(a);
     Optional<ReportedLoad> load =
         result instanceof ExchangeResult.Response r
             ? context.wire().reportedLoad(r.headers())
@@ -360,6 +394,12 @@
     if (end == AttemptOutcome.ANSWERED && result instanceof ExchangeResult.Response r) {
       recordProcessingTime(now() - a.startedAtMs, load);
       context.responseSizes().recordResponse(route.name(), r.body().length);
+      if (a.hedge) {
+        figures().recordHedge("won");
+      }
+      if (context.hedgeLimit().cancelsOtherCopies() && !activeAttempts.isEmpty()) {
+        cancelOtherCopies();
+      }
       deliver(r, a.upstream);
       return;
     }
@@ -372,6 +412,18 @@
     retryOrGiveUp(end, result);
   }
 
+  /** Aborts the other copies of a request that has been answered, and releases their slots. */
+  private void cancelOtherCopies() {
+    event("hedge_cancelled").with("copies", activeAttempts.size()).write();
+    activeAttempts.forEach(a -> figures().recordHedge("cancelled"));
+    abandonAll(AttemptOutcome.ABANDONED);
+  }
+
+  private void recordUpstreamTime(Attempt a) {
+    long tookMs = now() - a.startedAtMs;
+    context.hedgeLimit().recordEnd(a.hedge, a.expectedMs, tookMs, now());
+  }
+
   private void logSkippedResponses(Attempt a) {
     Exchange e = a.exchange;
     if (e != null && e.skippedResponses() > 0) {
@@ -486,6 +538,7 @@
         mayHaveRun |= a.exchange.mayHaveBeenSent();
         a.exchange.abort();
       }
+      recordUpstreamTime(a);
       report(a.key, a.upstream, end, now() - a.startedAtMs, Optional.empty());
     }
     activeAttempts.clear();
@@ -554,12 +607,21 @@
   private static final class Attempt {
     private final PlacementKey key;
     private final UpstreamRegistration upstream;
+    private final boolean hedge;
+    private final double expectedMs;
     private final long startedAtMs;
     private @Nullable Exchange exchange;
 
-    Attempt(PlacementKey key, UpstreamRegistration upstream, long startedAtMs) {
+    Attempt(
+        PlacementKey key,
+        UpstreamRegistration upstream,
+        boolean hedge,
+        double expectedMs,
+        long startedAtMs) {
       this.key = key;
       this.upstream = upstream;
+      this.hedge = hedge;
+      this.expectedMs = expectedMs;
       this.startedAtMs = startedAtMs;
     }
   }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingContext.java
@@ -4,6 +4,7 @@
 import dev.cactusstack.decisions.placing.ProcessingTimes;
 import dev.cactusstack.decisions.placing.ResponseSizes;
 import dev.cactusstack.decisions.retries.CallerElapsedTime;
+import dev.cactusstack.decisions.retries.HedgeBudget;
 import dev.cactusstack.decisions.retries.IdleReuseLimit;
 import dev.cactusstack.decisions.retries.RetryWindow;
 import dev.cactusstack.gateway.net.HttpClient;
@@ -16,6 +17,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 
@@ -40,6 +42,7 @@
  * @param callerElapsedTime estimates the time a caller has spent before its request arrives, by
  *     route
  * @param retryBudget the settings of retry budgets
+ * @param hedgeLimit limits and times hedges
  * @param figures the host's metrics
  */
 public record ForwardingContext(
@@ -60,6 +63,7 @@
     ResponseSizes responseSizes,
     CallerElapsedTime callerElapsedTime,
     RetryBudget retryBudget,
+    HedgeLimit hedgeLimit,
     GatewayMetrics figures) {
 
   /**
@@ -76,6 +80,7 @@
    * @param quotas requests the permits of workspaces with a quota
    * @param noticeReader reads and remembers what upstreams say about themselves
    * @param retryBudget the settings of retry budgets
+   * @param hedgeBudget the limit on hedges; empty if only the retry budget limits them
    * @param figures the host's metrics
    */
   public ForwardingContext(
@@ -90,6 +95,7 @@
       QuotaClient quotas,
       NoticeReader noticeReader,
       RetryBudget retryBudget,
+      Optional<HedgeBudget> hedgeBudget,
       GatewayMetrics figures) {
     this(
         dataCentre,
@@ -109,6 +115,7 @@
         new ResponseSizes(),
         new CallerElapsedTime(),
         retryBudget,
+        new HedgeLimit(hedgeBudget),
         figures);
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/observe/PrometheusFormat.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/observe/PrometheusFormat.java
@@ -67,6 +67,13 @@
             "Retries and hedges by whether the retry budget allowed them",
             "budget",
             RouteMetrics::retriesByDecision));
+    metrics.add(
+        counter(
+            gatewayMetrics,
+            "cactusstack_hedges",
+            "Hedges sent, won, cancelled, and refused by the limit on hedges",
+            "event",
+            RouteMetrics::hedgesByEvent));
     metrics.add(workspaceRequests(gatewayMetrics.workspaces()));
     metrics.add(workspaceOutcomes(gatewayMetrics.workspaces()));
     gatewayMetrics
--- a/gateway/src/main/java/dev/cactusstack/gateway/observe/RouteMetrics.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/observe/RouteMetrics.java
@@ -10,6 +10,7 @@
   private final Map<String, Long> attemptsByOutcome = new TreeMap<>();
   private final Map<String, Long> refusalsByReason = new TreeMap<>();
   private final Map<String, Long> retriesByDecision = new TreeMap<>();
+  private final Map<String, Long> hedgesByEvent = new TreeMap<>();
 
   /**
    * Records a request that was answered with an upstream's response.
@@ -56,6 +57,15 @@
     retriesByDecision.merge(allowed ? "allowed" : "denied", 1L, Long::sum);
   }
 
+  /**
+   * Records an event in the course of a hedge.
+   *
+   * @param event the event, one of a small set of label values
+   */
+  public void recordHedge(String event) {
+    hedgesByEvent.merge(event, 1L, Long::sum);
+  }
+
   LatencyHistogram requestLatency() {
     return requestLatency;
   }
@@ -75,4 +85,8 @@
   Map<String, Long> retriesByDecision() {
     return retriesByDecision;
   }
+
+  Map<String, Long> hedgesByEvent() {
+    return hedgesByEvent;
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -29,7 +29,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 7;
+  private static final int FORMAT_VERSION = 8;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
@@ -324,6 +324,7 @@
       out.writeUInt32NoTag(1);
       writeUpstream(out, placed.upstream());
       LimitCodec.writeOptional(out, placed.limit());
+      out.writeUInt64NoTag(placed.expectedMs());
     } else if (placementDecision instanceof PlacementDecision.Rejected rejected) {
       out.writeUInt32NoTag(2);
       out.writeUInt64NoTag(rejected.retryAfterMs());
@@ -335,7 +336,9 @@
   private static PlacementDecision readDecision(CodedInputStream in) throws IOException {
     PlacementKey key = readKey(in);
     return switch (in.readUInt32()) {
-      case 1 -> new PlacementDecision.Placed(key, readUpstream(in), LimitCodec.readOptional(in));
+      case 1 ->
+          new PlacementDecision.Placed(
+              key, readUpstream(in), LimitCodec.readOptional(in), in.readUInt64());
       case 2 -> new PlacementDecision.Rejected(key, in.readUInt64());
       default -> new PlacementDecision.Queued(key);
     };
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
@@ -138,6 +138,7 @@
           quotas,
           noticeReader,
           new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
+          Optional.empty(),
           new GatewayMetrics());
 
   ForwardedQuotaTest() {
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -129,6 +129,7 @@
               placement::nextKey),
           noticeReader,
           new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
+          Optional.empty(),
           new GatewayMetrics());
   private final List<CallerResponse> responses = new ArrayList<>();
 
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -67,6 +67,13 @@
           new LinkMessage.DecisionMade(placed(new RequestLimit(1.5, 900, 40)), 700),
           new LinkMessage.DecisionMade(
               placed(new RequestLimit(RequestLimit.UNLIMITED, 900, 900)), 0),
+          new LinkMessage.DecisionMade(
+              new PlacementDecision.Placed(
+                  KEY,
+                  new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0),
+                  Optional.empty(),
+                  117),
+              700),
           new LinkMessage.DecisionMade(new PlacementDecision.Rejected(KEY, 40), 1_600),
           new LinkMessage.DecisionMade(new PlacementDecision.Queued(KEY), 0),
           new LinkMessage.AttemptsEnded(
