--- a/review/kit2/BehindLong.java
+++ b/review/kit2/BehindLong.java
@@ -92,7 +92,7 @@
     }
     rig.record("servers have answered " + answered.size() + " of " + CLIENTS * BEHIND + " short requests");
     if (rig.trouble) {
-      host.signal("TERM");
+      host.terminate();
     }
     for (Thread t : clients) {
       t.join();
--- a/review/kit2/Rig.java
+++ b/review/kit2/Rig.java
@@ -75,9 +75,10 @@
       return work.resolve(name + "." + starts + ".log");
     }
 
-    void signal(String signal) throws Exception {
-      record("host " + name + " gets SIG" + signal);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
+    /** Sends SIGTERM. */
+    void terminate() {
+      record("host " + name + " gets SIGTERM");
+      process.destroy();
     }
 
     boolean ready() {
--- a/review/kit2/SlowReader.java
+++ b/review/kit2/SlowReader.java
@@ -68,7 +68,7 @@
     Thread.sleep(500);
     rig.record("servers have answered " + ran.size() + " of " + CLIENTS * PIPELINED + " requests");
     if (rig.trouble) {
-      host.signal("TERM");
+      host.terminate();
     }
     int lost = 0;
     for (Client c : clients) {
