--- a/review/kit2/BurstTwice.java
+++ b/review/kit2/BurstTwice.java
@@ -5,15 +5,16 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** QUOTA: an operator lowers the burst of a tenant and takes that back. */
+/** QUOTA: an operator lowers the burst of a tenant and takes that back, in quick succession. */
 final class BurstTwice {
-  private static final int RATE = 20;
-  private static final int BURST = 200;
-  private static final int LOWERED = 20;
-  private static final int SENT_AT_ONCE = 230;
+  private static final int RATE = 65;
+  private static final int BURST = 65;
+  private static final int LOWERED = 5;
+  private static final int PER_HOST_PER_S = 60;
+  private static final int TIMES = 4;
+  private static final long GAP_MS = 350;
   private static final double WINDOW_S = 5;
   private static final double BOUND = (RATE * WINDOW_S + BURST) * 1.1 + 20;
 
@@ -55,22 +56,48 @@
     for (Rig.Host h : hosts) {
       h.awaitReady(20_000);
     }
-    // The tenant's bucket fills: it starts empty, and takes burst / rate to fill.
-    Thread.sleep(6_000 + 1_000 * BURST / RATE);
-    double start = rig.now();
-    send(rig, hosts, sentAt, "first");
-    if (rig.trouble) {
-      rig.record("the operator lowers the burst to " + LOWERED);
-      rig.store.put("op", "config", configuration(9, LOWERED));
-      Thread.sleep(900);
-      rig.record("the operator sets the burst to " + BURST + " again");
-      rig.store.put("op", "config", configuration(12, BURST));
-      Thread.sleep(900);
-    } else {
-      Thread.sleep(1_800);
+    // The tenant's bucket fills: it starts empty.
+    Thread.sleep(8_000);
+    boolean[] over = {false};
+    Map<String, AtomicInteger> answers = new ConcurrentHashMap<>();
+    for (Rig.Host h : hosts) {
+      rig.thread("clients of " + h.name, () -> {
+        for (int n = 0; !over[0]; n++) {
+          String id = h.name + "-" + n;
+          rig.thread("client", () -> {
+            sentAt.put(id, rig.now());
+            String result;
+            try {
+              result = Integer.toString(Rig.call(h.ip, h.callersPort, 3_000, Http.head("GET /roll/1 HTTP/1.1",
+                  "Host: roll.example", "Cactusstack-Request-Id: " + id, "Cactusstack-Deadline-Ms: 3000",
+                  "Authorization: Bearer key0")).status());
+            } catch (IOException e) {
+              result = e.toString();
+            }
+            answers.computeIfAbsent(result, k -> new AtomicInteger()).incrementAndGet();
+            rig.record("client sent " + id + ", answer " + result);
+          });
+          Thread.sleep(1_000 / PER_HOST_PER_S);
+        }
+      });
+    }
+    Thread.sleep(1_000);
+    for (int n = 0; n < TIMES; n++) {
+      if (rig.trouble) {
+        rig.record("the operator lowers the burst to " + LOWERED);
+        rig.store.put("op", "config", configuration(9 + 5 * n, LOWERED));
+      }
+      Thread.sleep(GAP_MS);
+      if (rig.trouble) {
+        rig.record("the operator sets the burst to " + BURST + " again");
+        rig.store.put("op", "config", configuration(11 + 5 * n, BURST));
+      }
+      Thread.sleep(GAP_MS);
     }
-    send(rig, hosts, sentAt, "second");
-    rig.record(String.format("both times within %.1f s", rig.now() - start));
+    Thread.sleep(4_000);
+    over[0] = true;
+    Thread.sleep(1_000);
+    rig.record("all answers " + new TreeMap<>(answers));
     int most = 0;
     List<Arrival> all = List.copyOf(arrivals);
     for (Arrival from : all) {
@@ -83,33 +110,4 @@
     rig.record("ran " + all.size() + ", at most " + most + " in " + WINDOW_S + " s, bound " + BOUND);
     return most > BOUND;
   }
-
-  private static void send(Rig rig, List<Rig.Host> hosts, Map<String, Double> sentAt, String name)
-      throws InterruptedException {
-    var answers = new TreeMap<String, AtomicInteger>();
-    var left = new CountDownLatch(SENT_AT_ONCE);
-    for (int n = 0; n < SENT_AT_ONCE; n++) {
-      Rig.Host h = hosts.get(n % hosts.size());
-      String id = name + "-" + n;
-      rig.thread("client", () -> {
-        sentAt.put(id, rig.now());
-        String result;
-        try {
-          result = Integer.toString(Rig.call(h.ip, h.callersPort, 3_000, Http.head("GET /roll/1 HTTP/1.1",
-              "Host: roll.example", "Cactusstack-Request-Id: " + id, "Cactusstack-Deadline-Ms: 3000",
-              "Authorization: Bearer key0")).status());
-        } catch (IOException e) {
-          result = e.toString();
-        }
-        synchronized (answers) {
-          answers.computeIfAbsent(result, k -> new AtomicInteger()).incrementAndGet();
-        }
-        rig.record("client sent " + id + " to " + h.name + ", answer " + result);
-        left.countDown();
-      });
-      Thread.sleep(3);
-    }
-    left.await();
-    rig.record(name + " answers " + answers);
-  }
 }
