Log: whether callers need an API key, and how a change of a quota moves the permits

"workspaces=0" says nothing about whether keys are checked, and a quota that changes left no line at all.

Change: event=configuration has api_keys=required or none; the new event=quota_changed has the rate, the burst, the share, and the permits that could be granted just before and after.

--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -42,6 +42,7 @@
 
   private final TokenBucket bucket;
   private final Map<PlacementKey, Answer> answers = new LinkedHashMap<>();
+  private double quotaRate;
   private double quotaBurst;
   private double share;
   private double permitsPerSecond;
@@ -138,6 +139,7 @@
   }
 
   private void setRate(double requestsPerSecond, double burst, double newShare, long nowMs) {
+    quotaRate = requestsPerSecond;
     quotaBurst = burst;
     share = newShare;
     permitsPerSecond = requestsPerSecond * newShare;
@@ -250,6 +252,17 @@
     return answers.size();
   }
 
+  /**
+   * Checks whether the bucket was last set to a quota.
+   *
+   * @param requestsPerSecond the quota of the workspace over all hosts
+   * @param burst the burst of the workspace over all hosts
+   * @return false if the rate or the burst differs
+   */
+  public boolean isSetTo(double requestsPerSecond, double burst) {
+    return quotaRate == requestsPerSecond && quotaBurst == burst;
+  }
+
   /**
    * Returns this host's share.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -267,6 +267,7 @@
         .with("evacuated", new HashSet<>(configuration.evacuated()).toString())
         .with("rollouts", new HashSet<>(configuration.rollouts().keySet()).toString())
         .with("workspaces", configuration.workspaces().size())
+        .with("api_keys", index.workspaceKeys().areRequired() ? "required" : "none")
         .write();
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -180,15 +180,31 @@
       buckets.remove(workspace.name());
       return null;
     }
-    double rate = workspace.requestsPerSecond();
     if (bucket == null) {
       bucket = createBucket(workspace, share, standing, nowMs);
       buckets.put(workspace.name(), bucket);
     }
-    bucket.update(rate, workspace.burst(), share, nowMs);
+    updateBucket(bucket, workspace, share, nowMs);
     return bucket;
   }
 
+  private void updateBucket(QuotaBucket bucket, Workspace workspace, double share, long nowMs) {
+    double rate = workspace.requestsPerSecond();
+    boolean changed = !bucket.isSetTo(rate, workspace.burst());
+    double before = bucket.available(nowMs);
+    bucket.update(rate, workspace.burst(), share, nowMs);
+    if (changed) {
+      log.event("quota_changed")
+          .with("workspace", workspace.name())
+          .with("rate", Double.toString(rate))
+          .with("burst", Double.toString(workspace.burst()))
+          .with("share", Double.toString(share))
+          .with("permits_before", Math.round(before))
+          .with("permits", Math.round(bucket.available(nowMs)))
+          .write();
+    }
+  }
+
   private QuotaBucket createBucket(
       Workspace workspace, double share, SchedulerStandings.Standing standing, long nowMs) {
     double rate = workspace.requestsPerSecond();
