--- a/decisions/src/main/java/dev/cactusstack/decisions/workspaces/WorkspaceKeys.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/workspaces/WorkspaceKeys.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.decisions.workspaces;
 
 import dev.cactusstack.model.site.ApiKeyDigest;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.Workspace;
 import java.util.Collection;
 import java.util.Collections;
@@ -16,11 +17,12 @@
  * does not tell a caller how much of a key is right.
  *
  * <p>Invariant: a key that several workspaces claim belongs to none of them, because its requests
- * could be charged to the wrong one. Immutable and thread-safe.
+ * could be charged to the wrong one. Whether a key is required does not follow from the keys: a
+ * site whose last workspace was removed requires one that nobody has. Immutable and thread-safe.
  */
 public final class WorkspaceKeys {
-  /** The keys of a site without workspaces. */
-  public static final WorkspaceKeys NONE = new WorkspaceKeys(Set.of());
+  /** The keys of an open site. */
+  public static final WorkspaceKeys NONE = new WorkspaceKeys(false, Set.of());
 
   private final boolean required;
   private final Map<ApiKeyDigest, Workspace> workspaces = new HashMap<>();
@@ -28,12 +30,16 @@
   private final Set<String> sharingWorkspaces = new TreeSet<>();
 
   /**
-   * Indexes the keys of a configuration.
+   * Indexes the keys of a site whose callers need one.
    *
-   * @param configured all workspaces of the site
+   * @param configured all workspaces of the site, possibly none
    */
   public WorkspaceKeys(Collection<Workspace> configured) {
-    required = !configured.isEmpty();
+    this(true, configured);
+  }
+
+  private WorkspaceKeys(boolean required, Collection<Workspace> configured) {
+    this.required = required;
     for (Workspace workspace : configured) {
       for (ApiKeyDigest key : workspace.keys()) {
         Workspace other = workspaces.putIfAbsent(key, workspace);
@@ -47,10 +53,20 @@
     workspaces.keySet().removeAll(sharedKeys);
   }
 
+  /**
+   * Indexes the keys of a configuration.
+   *
+   * @param access who may call the site
+   * @return the keys of all workspaces
+   */
+  public static WorkspaceKeys of(CallerAccess access) {
+    return access.requiresApiKey() ? new WorkspaceKeys(access.workspaces().values()) : NONE;
+  }
+
   /**
    * Checks whether requests need a key.
    *
-   * @return false if the site has no workspaces
+   * @return false if the site is open
    */
   public boolean areRequired() {
     return required;
--- a/decisions/src/test/java/dev/cactusstack/decisions/workspaces/WorkspaceKeysTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/workspaces/WorkspaceKeysTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.cactusstack.model.site.ApiKeyDigest;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.Workspace;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -56,4 +58,13 @@
         .satisfies(keys -> assertThat(keys.areRequired()).isTrue());
     assertThat(WorkspaceKeys.NONE.areRequired()).isFalse();
   }
+
+  /** Guards against a site that becomes open because its last workspace was removed. */
+  @Test
+  void shouldRequireAKeyWhenNoWorkspaceIsLeft() {
+    WorkspaceKeys keys = WorkspaceKeys.of(CallerAccess.byApiKey(Map.of()));
+    assertThat(keys.areRequired()).isTrue();
+    assertThat(owner(keys, FIRST)).isEqualTo("none");
+    assertThat(WorkspaceKeys.of(CallerAccess.OPEN).areRequired()).isFalse();
+  }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationIndex.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationIndex.java
@@ -49,7 +49,7 @@
    */
   void update(SiteConfiguration configuration) {
     routeMatcher = new RouteMatcher(configuration.routes());
-    workspaceKeys = new WorkspaceKeys(configuration.workspaces().values());
+    workspaceKeys = WorkspaceKeys.of(configuration.access());
     logSharedKeys(configuration.version());
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationMerge.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationMerge.java
@@ -32,7 +32,7 @@
           routingRules.services(),
           routingRules.limits(),
           mergeEvacuated(previous, change),
-          routingRules.workspaces(),
+          routingRules.access(),
           mergeRollouts(previous, change));
     }
     if (previous == null) {
@@ -45,7 +45,7 @@
         previous.services(),
         previous.limits(),
         mergeEvacuated(previous, change),
-        previous.workspaces(),
+        previous.access(),
         mergeRollouts(previous, change));
   }
 
@@ -61,7 +61,7 @@
         && a.routes().equals(b.routes())
         && a.services().equals(b.services())
         && a.limits().equals(b.limits())
-        && a.workspaces().equals(b.workspaces());
+        && a.access().equals(b.access());
   }
 
   private static Set<String> mergeEvacuated(
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/ConfigurationCodec.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.CodedOutputStream;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.site.ApiKeyDigest;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.RequestKind;
 import dev.cactusstack.model.site.RolloutOrder;
@@ -45,10 +46,7 @@
     for (String dataCentre : siteConfiguration.evacuated()) {
       out.writeStringNoTag(dataCentre);
     }
-    out.writeUInt32NoTag(siteConfiguration.workspaces().size());
-    for (Workspace workspace : siteConfiguration.workspaces().values()) {
-      writeWorkspace(out, workspace);
-    }
+    writeAccess(out, siteConfiguration.access());
     out.writeUInt32NoTag(siteConfiguration.rollouts().size());
     for (RolloutOrder order : siteConfiguration.rollouts().values()) {
       writeRollout(out, order);
@@ -75,11 +73,7 @@
     for (int n = LinkCodec.readCount(in); n > 0; n--) {
       evacuated.add(in.readString());
     }
-    Map<String, Workspace> workspaces = new HashMap<>();
-    for (int n = LinkCodec.readCount(in); n > 0; n--) {
-      Workspace workspace = readWorkspace(in);
-      workspaces.put(workspace.name(), workspace);
-    }
+    CallerAccess access = readAccess(in);
     Map<String, RolloutOrder> rollouts = new HashMap<>();
     for (int n = LinkCodec.readCount(in); n > 0; n--) {
       RolloutOrder order = readRollout(in);
@@ -87,7 +81,7 @@
     }
     return new ConfigurationSnapshot(
         new SiteConfiguration(
-            revision, version, routes, services, limits, evacuated, workspaces, rollouts),
+            revision, version, routes, services, limits, evacuated, access, rollouts),
         changedAt,
         in.readUInt64());
   }
@@ -135,6 +129,24 @@
         in.readBool());
   }
 
+  private static void writeAccess(CodedOutputStream out, CallerAccess access) throws IOException {
+    out.writeBoolNoTag(access.requiresApiKey());
+    out.writeUInt32NoTag(access.workspaces().size());
+    for (Workspace workspace : access.workspaces().values()) {
+      writeWorkspace(out, workspace);
+    }
+  }
+
+  private static CallerAccess readAccess(CodedInputStream in) throws IOException {
+    boolean requiresApiKey = in.readBool();
+    Map<String, Workspace> workspaces = new HashMap<>();
+    for (int n = LinkCodec.readCount(in); n > 0; n--) {
+      Workspace workspace = readWorkspace(in);
+      workspaces.put(workspace.name(), workspace);
+    }
+    return new CallerAccess(requiresApiKey, workspaces);
+  }
+
   private static void writeWorkspace(CodedOutputStream out, Workspace workspace)
       throws IOException {
     out.writeStringNoTag(workspace.name());
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/LinkCodec.java
@@ -29,7 +29,7 @@
  * are rejected by the version byte. Stateless and thread-safe.
  */
 public final class LinkCodec {
-  private static final int FORMAT_VERSION = 8;
+  private static final int FORMAT_VERSION = 9;
   private static final int MAX_ITEMS = 1_000;
 
   /** Unit of the age of a heartbeat; usual values take one byte. */
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/ConfigurationChange.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/ConfigurationChange.java
@@ -1,10 +1,10 @@
 package dev.cactusstack.gateway.site;
 
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.ServiceSettings;
-import dev.cactusstack.model.site.Workspace;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,23 +59,22 @@
    * @param routes all routes
    * @param services all services by name
    * @param limits limits on what callers may send
-   * @param workspaces all workspaces by name
+   * @param access who may call the site
    */
   public record RoutingRules(
       long version,
       List<RouteRule> routes,
       Map<String, ServiceSettings> services,
       CallerLimits limits,
-      Map<String, Workspace> workspaces) {
+      CallerAccess access) {
     /** Copies the components. */
     public RoutingRules {
       routes = List.copyOf(routes);
       services = Map.copyOf(services);
-      workspaces = Map.copyOf(workspaces);
     }
 
     /**
-     * Creates rules without workspaces.
+     * Creates rules of an open site.
      *
      * @param version the version that operators gave the rules
      * @param routes all routes
@@ -87,7 +86,7 @@
         List<RouteRule> routes,
         Map<String, ServiceSettings> services,
         CallerLimits limits) {
-      this(version, routes, services, limits, Map.of());
+      this(version, routes, services, limits, CallerAccess.OPEN);
     }
   }
 }
--- a/gateway/src/main/java/dev/cactusstack/gateway/site/ConfigurationSnapshot.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/site/ConfigurationSnapshot.java
@@ -34,7 +34,7 @@
             configuration.routes(),
             configuration.services(),
             configuration.limits(),
-            configuration.workspaces());
+            configuration.access());
     Map<String, Boolean> evacuations = new HashMap<>();
     configuration.evacuated().forEach(dataCentre -> evacuations.put(dataCentre, true));
     Map<String, Optional<RolloutOrder>> rollouts = new HashMap<>();
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/ConfigurationControllerTest.java
@@ -7,6 +7,7 @@
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.gateway.site.StoreException;
 import dev.cactusstack.model.site.ApiKeyDigest;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.Workspace;
@@ -315,7 +316,7 @@
         Arrays.stream(all).collect(Collectors.toMap(Workspace::name, workspace -> workspace));
     var rules =
         new ConfigurationChange.RoutingRules(
-            version, List.of(), Map.of(), CallerLimits.DEFAULT, workspaces);
+            version, List.of(), Map.of(), CallerLimits.DEFAULT, CallerAccess.byApiKey(workspaces));
     return new ConfigurationChange(revision, revision, true, Optional.of(rules), Map.of());
   }
 
@@ -335,6 +336,25 @@
     assertThat(controller.workspaceKeys().find(ApiKeyDigest.of("k2"))).isPresent();
   }
 
+  /** Guards against a site that is open, by the store or another host, without a workspace left. */
+  @Test
+  void shouldRequireAKeyWhenANewVersionHasNoWorkspaceLeft() {
+    store.configurationReads.get(0).complete(changeOfKeys(10, 1, workspace("a", "k1")));
+    store.configurationWatches.get(0).complete(changeOfKeys(11, 2));
+    assertThat(controller.workspaceKeys().areRequired()).isTrue();
+    assertThat(announced.get(0).toChange().rules().orElseThrow().access())
+        .isEqualTo(CallerAccess.byApiKey(Map.of()));
+  }
+
+  /** Guards against a change from an open site to one without workspaces that has no effect. */
+  @Test
+  void shouldRequireAKeyWhenAnEmptyTableOfWorkspacesIsAdded() {
+    store.configurationReads.get(0).complete(change(10, true, 1, Map.of()));
+    assertThat(controller.workspaceKeys().areRequired()).isFalse();
+    store.configurationWatches.get(0).complete(changeOfKeys(11, 2));
+    assertThat(controller.workspaceKeys().areRequired()).isTrue();
+  }
+
   /** Guards against keys that are lost because a new version of the configuration is unusable. */
   @Test
   void shouldKeepTheKeysWhenAChangeHasNoValidRules() {
--- a/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/RolloutControllerTest.java
@@ -8,6 +8,7 @@
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.gateway.site.RolloutRow;
 import dev.cactusstack.gateway.site.StoreException;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.RolloutOrder;
 import dev.cactusstack.model.site.RolloutState;
@@ -63,7 +64,7 @@
                 Map.of(),
                 CallerLimits.DEFAULT,
                 Set.of(),
-                Map.of(),
+                CallerAccess.OPEN,
                 rollouts));
     controller.onConfigurationChanged();
     time.run(20);
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/LinkCodecTest.java
@@ -19,6 +19,8 @@
 import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.ApiKeyDigest;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.RequestKind;
@@ -26,12 +28,14 @@
 import dev.cactusstack.model.site.ServiceSettings;
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.UpstreamRegistration;
+import dev.cactusstack.model.site.Workspace;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -113,6 +117,13 @@
           new LinkMessage.QuotaDecided(KEY, QuotaDecision.UNDECIDED),
           new LinkMessage.QuotaDecided(KEY, QuotaDecision.refused(1_234)),
           new LinkMessage.QuotaReturned("w", KEY),
+          accessUpdate(CallerAccess.byApiKey(Map.of())),
+          accessUpdate(
+              CallerAccess.byApiKey(
+                  Map.of(
+                      "w",
+                      new Workspace(
+                          "w", Set.of(ApiKeyDigest.of("k")), OptionalInt.of(2), 2.5, 10)))),
           new LinkMessage.ConfigurationUpdate(
               new ConfigurationSnapshot(
                   new SiteConfiguration(
@@ -135,6 +146,13 @@
                   79,
                   2)));
 
+  private static LinkMessage accessUpdate(CallerAccess access) {
+    var configuration =
+        new SiteConfiguration(
+            81, 8, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), access, Map.of());
+    return new LinkMessage.ConfigurationUpdate(new ConfigurationSnapshot(configuration, 81, 2));
+  }
+
   private static PlacementDecision placed(RequestLimit limit) {
     var upstream = new UpstreamRegistration("u", "s", ADDRESS, "dc", 4, false, 0, 5, 0);
     return new PlacementDecision.Placed(KEY, upstream, Optional.of(limit));
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.gateway.observe.EventLog;
 import dev.cactusstack.model.Address;
+import dev.cactusstack.model.site.CallerAccess;
 import dev.cactusstack.model.site.CallerLimits;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.SiteConfiguration;
@@ -76,7 +77,14 @@
   static Optional<SiteConfiguration> configuration(Map<String, Workspace> workspaces) {
     return Optional.of(
         new SiteConfiguration(
-            1, 1, List.of(), Map.of(), CallerLimits.DEFAULT, Set.of(), workspaces, Map.of()));
+            1,
+            1,
+            List.of(),
+            Map.of(),
+            CallerLimits.DEFAULT,
+            Set.of(),
+            CallerAccess.byApiKey(workspaces),
+            Map.of()));
   }
 
   void setQuota(double rate, double burst) {
--- a/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
+++ b/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
@@ -14,7 +14,7 @@
  * @param services all services by name
  * @param limits limits on the requests of callers
  * @param evacuated names of the data centres that receive no traffic
- * @param workspaces all workspaces by name; empty if callers need no API key
+ * @param access who may call the site
  * @param rollouts the roll-out orders by service
  */
 public record SiteConfiguration(
@@ -24,7 +24,7 @@
     Map<String, ServiceSettings> services,
     CallerLimits limits,
     Set<String> evacuated,
-    Map<String, Workspace> workspaces,
+    CallerAccess access,
     Map<String, RolloutOrder> rollouts) {
   /** Checks and copies the components. */
   public SiteConfiguration {
@@ -32,12 +32,12 @@
     services = Map.copyOf(services);
     Objects.requireNonNull(limits, "limits is null");
     evacuated = Set.copyOf(evacuated);
-    workspaces = Map.copyOf(workspaces);
+    Objects.requireNonNull(access, "access is null");
     rollouts = Map.copyOf(rollouts);
   }
 
   /**
-   * Creates a configuration without workspaces and roll-outs.
+   * Creates a configuration of an open site without roll-outs.
    *
    * @param revision the store's revision of this configuration
    * @param version the version that operators gave the routes
@@ -53,6 +53,15 @@
       Map<String, ServiceSettings> services,
       CallerLimits limits,
       Set<String> evacuated) {
-    this(revision, version, routes, services, limits, evacuated, Map.of(), Map.of());
+    this(revision, version, routes, services, limits, evacuated, CallerAccess.OPEN, Map.of());
+  }
+
+  /**
+   * Returns the workspaces of the site.
+   *
+   * @return all workspaces by name; that there are none does not tell whether callers need a key
+   */
+  public Map<String, Workspace> workspaces() {
+    return access.workspaces();
   }
 }
