--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -1,5 +1,6 @@
 package dev.cactusstack.decisions.quotas;
 
+import dev.cactusstack.decisions.limits.LeakyBucket;
 import dev.cactusstack.decisions.limits.TokenBucket;
 import dev.cactusstack.decisions.placing.PlacementKey;
 import java.util.Iterator;
@@ -13,8 +14,8 @@
  * A permit is returned at most once, and only within {@value #MAX_RETURN_MS} ms, so that permits
  * can't be saved up. Over any period, the permits granted and not returned are at most the largest
  * burst plus the rate times the period, which is longer by {@value #MAX_RETURN_MS} ms if permits
- * are returned. At most {@value #MAX_KEYS} keys are remembered, each for {@value #MEMORY_MS} ms.
- * Confined to one thread.
+ * are returned; that holds however often the quota changes in the period. At most {@value
+ * #MAX_KEYS} keys are remembered, each for {@value #MEMORY_MS} ms. Confined to one thread.
  */
 public final class QuotaBucket {
   /** Longest time after which a permit can be returned. */
@@ -41,6 +42,10 @@
   private static final double MS_PER_SECOND = 1_000;
 
   private final TokenBucket bucket;
+
+  /** Permits that were granted, or may have been by other hosts, and have not accrued again. */
+  private final LeakyBucket used;
+
   private final Map<PlacementKey, Answer> answers = new LinkedHashMap<>();
   private double quotaRate;
   private double quotaBurst;
@@ -48,8 +53,12 @@
   private double permitsPerSecond;
   private double lastPromisedAtMs = Double.NEGATIVE_INFINITY;
 
-  private QuotaBucket(long nowMs) {
-    this.bucket = TokenBucket.empty(nowMs);
+  private QuotaBucket(
+      double requestsPerSecond, double burst, double share, double permits, long sinceMs) {
+    this.bucket = TokenBucket.empty(sinceMs);
+    this.used = new LeakyBucket(capacity(burst, share) - permits, sinceMs);
+    setRate(requestsPerSecond, burst, share, sinceMs);
+    bucket.putBack(permits, sinceMs);
   }
 
   /**
@@ -64,9 +73,7 @@
    */
   public static QuotaBucket takenOver(
       double requestsPerSecond, double burst, double share, long sinceMs) {
-    QuotaBucket taken = empty(requestsPerSecond, burst, share, sinceMs);
-    taken.bucket.putBack(PERMIT, sinceMs);
-    return taken;
+    return new QuotaBucket(requestsPerSecond, burst, share, PERMIT, sinceMs);
   }
 
   /**
@@ -80,9 +87,7 @@
    */
   public static QuotaBucket empty(
       double requestsPerSecond, double burst, double share, long sinceMs) {
-    var empty = new QuotaBucket(sinceMs);
-    empty.setRate(requestsPerSecond, burst, share, sinceMs);
-    return empty;
+    return new QuotaBucket(requestsPerSecond, burst, share, 0, sinceMs);
   }
 
   /**
@@ -98,10 +103,9 @@
    */
   public static QuotaBucket restarted(
       double requestsPerSecond, double burst, double share, long sinceMs) {
-    QuotaBucket restarted = empty(requestsPerSecond, burst, share, sinceMs);
     double allowed = RESTART_RATE_S * requestsPerSecond + RESTART_PERMITS;
-    restarted.bucket.putBack(share * Math.min(burst, allowed), sinceMs);
-    return restarted;
+    return new QuotaBucket(
+        requestsPerSecond, burst, share, share * Math.min(burst, allowed), sinceMs);
   }
 
   /**
@@ -114,15 +118,14 @@
    * @return the bucket
    */
   public static QuotaBucket full(double requestsPerSecond, double burst, double share, long nowMs) {
-    var full = new QuotaBucket(nowMs);
-    full.setRate(requestsPerSecond, burst, share, nowMs);
-    full.bucket.putBack(capacity(burst, share), nowMs);
-    return full;
+    return new QuotaBucket(requestsPerSecond, burst, share, capacity(burst, share), nowMs);
   }
 
   /**
-   * Sets the quota and this host's share of it. A lower burst or share cuts the level; a higher
-   * burst raises it by the difference; a higher rate or share raises it only with time.
+   * Sets the quota and this host's share of it. A lower burst or share cuts the level. A higher
+   * burst raises it by the difference, but not above what a bucket that always had the higher burst
+   * would hold now: permits that were granted are not granted again. A higher rate or share raises
+   * it only with time.
    *
    * @param requestsPerSecond the quota of the workspace over all hosts
    * @param burst the burst of the workspace over all hosts
@@ -130,12 +133,14 @@
    * @param nowMs the current time on the same clock, in milliseconds
    */
   public void update(double requestsPerSecond, double burst, double newShare, long nowMs) {
-    double added = capacity(burst, newShare) - capacity(quotaBurst, newShare);
+    double raisedBy = capacity(burst, newShare) - capacity(quotaBurst, newShare);
     if (requestsPerSecond * newShare != permitsPerSecond) {
       lastPromisedAtMs = Double.NEGATIVE_INFINITY;
     }
     setRate(requestsPerSecond, burst, newShare, nowMs);
-    bucket.putBack(Math.max(0, added), nowMs);
+    double unused = capacity(burst, newShare) - used.level(nowMs);
+    double missing = unused - bucket.available(nowMs);
+    bucket.putBack(Math.max(0, Math.min(raisedBy, missing)), nowMs);
   }
 
   private void setRate(double requestsPerSecond, double burst, double newShare, long nowMs) {
@@ -144,6 +149,7 @@
     share = newShare;
     permitsPerSecond = requestsPerSecond * newShare;
     bucket.setRate(permitsPerSecond, capacity(burst, newShare), nowMs);
+    used.setRate(permitsPerSecond, nowMs);
   }
 
   /** A bucket that can't hold a whole permit would never grant one. */
@@ -167,14 +173,19 @@
           : QuotaDecision.refused(
               Math.max(0, known.decision.retryAfterMs() - (nowMs - known.atMs)));
     }
-    QuotaDecision decision =
-        bucket.tryAcquire(PERMIT, nowMs)
-            ? QuotaDecision.GRANTED
-            : QuotaDecision.refused(promiseNextPermit(nowMs));
+    QuotaDecision decision = decide(nowMs);
     answers.put(key, new Answer(decision, nowMs, !decision.isGranted()));
     return decision;
   }
 
+  private QuotaDecision decide(long nowMs) {
+    if (!bucket.tryAcquire(PERMIT, nowMs)) {
+      return QuotaDecision.refused(promiseNextPermit(nowMs));
+    }
+    used.add(PERMIT, nowMs);
+    return QuotaDecision.GRANTED;
+  }
+
   /** Returns the time until the next permit that is not promised to another caller. */
   private long promiseNextPermit(long nowMs) {
     long maxMs = share < WHOLE_SHARE ? MAX_RETRY_AFTER_PARTIAL_MS : MAX_RETRY_AFTER_MS;
@@ -214,6 +225,7 @@
       return false;
     }
     bucket.putBack(PERMIT, nowMs);
+    used.add(-PERMIT, nowMs);
     return true;
   }
 
--- a/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/quotas/QuotaBucketTest.java
@@ -127,6 +127,60 @@
     assertThat(bucket.available(0)).isEqualTo(20);
   }
 
+  /** Guards against a burst that is granted again each time it is lowered and raised. */
+  @Test
+  void shouldNotGrantTheBurstAgainWhenItIsLoweredAndRaised() {
+    QuotaBucket bucket = QuotaBucket.full(65, 65, 1, 0);
+    int granted = grantAll(bucket, 0);
+    for (long now = 350; now <= 2_800; now += 350) {
+      bucket.update(65, now % 700 == 350 ? 5 : 65, 1, now);
+      granted += grantAll(bucket, now);
+    }
+    assertThat(granted).isLessThanOrEqualTo(65 + (int) (65 * 2.8));
+  }
+
+  /** Guards against a raised burst without effect, for callers that have used nothing. */
+  @Test
+  void shouldRestoreThePermitsThatALowerBurstCutWhenItIsRaised() {
+    QuotaBucket bucket = QuotaBucket.full(10, 20, 1, 0);
+    bucket.update(10, 4, 1, 0);
+    bucket.update(10, 20, 1, 0);
+    assertThat(bucket.available(0)).isEqualTo(20);
+    QuotaBucket taken = QuotaBucket.takenOver(10, 20, 1, 0);
+    taken.update(10, 30, 1, 0);
+    assertThat(taken.available(0)).isEqualTo(11);
+  }
+
+  /**
+   * Rate, burst and share change at random while callers ask for more than the quota allows and
+   * some permits are returned. Guards against any sequence of changes that grants more than the
+   * largest burst and the rates of a period allow.
+   */
+  @Property(tries = 200, seed = "41")
+  void shouldStayWithinTheLargestBurstAndRateWhenTheQuotaChangesOften(@ForAll long seed) {
+    var random = new SplittableRandom(seed);
+    double maxRate = 1 + random.nextInt(100);
+    double maxBurst = 1 + random.nextInt(300);
+    QuotaBucket bucket = QuotaBucket.full(maxRate, maxBurst, 1, 0);
+    List<Long> ranAtMs = new ArrayList<>();
+    for (long now = 0; now < 8_000; now += 5) {
+      if (random.nextInt(40) == 0) {
+        double rate = random.nextBoolean() ? maxRate : random.nextDouble() * maxRate;
+        double burst = random.nextBoolean() ? maxBurst : random.nextDouble() * maxBurst;
+        double share = random.nextInt(4) == 0 ? random.nextInt(3) / 2.0 : 1;
+        bucket.update(rate, burst, share, now);
+      }
+      for (int i = 0; i < 3; i++) {
+        askOnce(bucket, now, random, ranAtMs);
+      }
+    }
+    for (long from : ranAtMs) {
+      long inWindow = ranAtMs.stream().filter(at -> at >= from && at < from + 5_000).count();
+      double periodS = (5_000 + QuotaBucket.MAX_RETURN_MS) / 1_000.0;
+      assertThat((double) inWindow).isLessThanOrEqualTo(maxBurst + maxRate * periodS + 1);
+    }
+  }
+
   /** Guards against permits from nothing when hosts disagree and shares change. */
   @Test
   void shouldAddNothingWhenTheShareRises() {
