Quotas: a workspace that is put back goes on with its bucket

What callers would see: a workspace that has used its burst gets it again each time it is removed and put back, or its quota lifted and set again.

Cause: the owner dropped the bucket with the quota, and took a quota that was put back for a new one, whose bucket starts full because nothing was granted before. The same happened right after a loss of all hosts, when nobody knows what was granted before.

Change: ConfiguredQuotas knows which quotas were removed lately and since when a quota is certainly new: the host has followed the configuration for 60 s by then, and did not see it removed in that time. The owner keeps the bucket of a removed quota until all that was used has accrued again, 60 s at most.

Test: QuotaClientTest, three new tests on the change that failed with the code before: ...WhenTheWorkspaceIsRemovedAndPutBack, ...WhenTheQuotaIsLiftedAndSetAgain and ...WhenAWorkspaceIsPutBackAfterALossOfAllHosts. One existing test was wrong about memory: shouldKeepStateOnlyOfConfiguredWorkspacesWithAQuota wanted the state gone in the same instant, which is the fault. It now wants it gone once the quotas have accrued again, and shouldForgetARemovedQuotaAfterTheRetention- TimeWhenItIsStillUsed bounds the time for those that take long.

--- a/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/quotas/QuotaBucket.java
@@ -284,6 +284,16 @@
     return share;
   }
 
+  /**
+   * Checks whether permits were granted that have not accrued again.
+   *
+   * @param nowMs the current time on the same clock, in milliseconds
+   * @return false if a full bucket would grant no more than this one
+   */
+  public boolean isUsed(long nowMs) {
+    return used.level(nowMs) > 0;
+  }
+
   /**
    * Returns how many permits can be granted at once.
    *
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
@@ -23,7 +24,9 @@
  * This host as the owner of quotas: grants permits for its share of the quota of each workspace.
  *
  * <p>Invariants: it keeps state only for workspaces with a quota in its own configuration, and only
- * while it has a share of it. It never grants more than its share, whoever asks. Confined to the
+ * while it has a share of it. The state of a quota that is removed is kept until all that was used
+ * has accrued again, for {@value ConfiguredQuotas#RETENTION_MS} ms at most, so that a quota that is
+ * put back is not granted again. It never grants more than its share, whoever asks. Confined to the
  * event loop.
  */
 public final class QuotaOwners {
@@ -47,8 +50,8 @@
   private final ShareRule shareRule;
   private final SchedulerStandings standings;
   private final Map<String, QuotaBucket> buckets = new HashMap<>();
-  private final Map<String, Long> configuredAtMs = new HashMap<>();
-  private @Nullable SiteConfiguration lastConfiguration;
+  private final ConfiguredQuotas configuredQuotas = new ConfiguredQuotas();
+
   private long granted;
   private long refused;
   private long returned;
@@ -208,12 +211,12 @@
   private QuotaBucket createBucket(
       Workspace workspace, double share, SchedulerStandings.Standing standing, long nowMs) {
     double rate = workspace.requestsPerSecond();
-    Long configuredMs = configuredAtMs.get(workspace.name());
+    OptionalLong newSinceMs = configuredQuotas.newSinceMs(workspace.name());
     boolean knowsAllUse =
         standing.isFirst()
             && share == 1
-            && configuredMs != null
-            && standing.leadingSinceMs() <= configuredMs;
+            && newSinceMs.isPresent()
+            && standing.leadingSinceMs() <= newSinceMs.getAsLong();
     if (knowsAllUse) {
       return QuotaBucket.full(rate, workspace.burst(), share, nowMs);
     }
@@ -240,26 +243,21 @@
   /** Handles a change of the configuration in force. */
   public void onConfigurationChanged() {
     SiteConfiguration current = configuration.get().orElse(null);
-    if (current == null || current.workspaces().isEmpty() && buckets.isEmpty()) {
-      lastConfiguration = current;
+    if (current == null) {
       return;
     }
     long now = clock.getAsLong();
-    standings.observe(now);
-    for (Workspace workspace : current.workspaces().values()) {
-      if (lastConfiguration != null && workspace.hasQuota() && !hasQuota(workspace.name())) {
-        configuredAtMs.put(workspace.name(), now);
-      }
+    configuredQuotas.update(current.workspaces(), now);
+    if (isWithoutQuotas(current)) {
+      return;
     }
-    lastConfiguration = current;
-    configuredAtMs.keySet().removeIf(name -> !hasQuota(name));
+    standings.observe(now);
     lookAtShares(current, now);
-    standings.forgetIf(key -> !hasQuota(key.substring(KEY_PREFIX.length())));
+    standings.forgetIf(key -> !configuredQuotas.has(key.substring(KEY_PREFIX.length())));
   }
 
-  private boolean hasQuota(String name) {
-    Workspace known = lastConfiguration == null ? null : lastConfiguration.workspaces().get(name);
-    return known != null && known.hasQuota();
+  private boolean isWithoutQuotas(SiteConfiguration current) {
+    return current.workspaces().isEmpty() && buckets.isEmpty();
   }
 
   /**
@@ -268,19 +266,22 @@
    */
   public void tick() {
     SiteConfiguration current = configuration.get().orElse(null);
-    if (current == null || current.workspaces().isEmpty()) {
+    if (current == null || isWithoutQuotas(current)) {
       return;
     }
     long now = clock.getAsLong();
     standings.observe(now);
+    configuredQuotas.forgetOld(now);
     lookAtShares(current, now);
   }
 
   private void lookAtShares(SiteConfiguration current, long nowMs) {
+    buckets
+        .entrySet()
+        .removeIf(held -> !configuredQuotas.has(held.getKey()) && isForgettable(held, nowMs));
     for (String name : List.copyOf(buckets.keySet())) {
       Workspace known = current.workspaces().get(name);
       if (known == null || !known.hasQuota()) {
-        buckets.remove(name);
         continue;
       }
       QuotaBucket bucket = currentBucket(known, nowMs);
@@ -290,6 +291,11 @@
     }
   }
 
+  /** Checks whether the bucket of a removed quota can go: a new one would grant no more. */
+  private boolean isForgettable(Map.Entry<String, QuotaBucket> held, long nowMs) {
+    return !held.getValue().isUsed(nowMs) || !configuredQuotas.isRemembered(held.getKey());
+  }
+
   /** Returns the number of workspaces that this host keeps state of. */
   int size() {
     return buckets.size();
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
@@ -20,6 +20,7 @@
   private static final double BURST = 10;
   private static final long ROUND_TRIP_MS = 2 * QuotaSimulation.MAX_ONE_WAY_MS;
 
+  private long lastNumber;
   private final QuotaSimulation site = new QuotaSimulation(6, 7, QuotaShare::of);
 
   @BeforeEach
@@ -33,10 +34,13 @@
   }
 
   private double available() {
+    return grantAll(site.owner().owners);
+  }
+
+  private int grantAll(QuotaOwners owners) {
     int granted = 0;
-    while (site.owner()
-        .owners
-        .decide(QuotaSimulation.WORKSPACE, new PlacementKey(99, granted))
+    while (owners
+        .decide(QuotaSimulation.WORKSPACE, new PlacementKey(99, ++lastNumber))
         .isGranted()) {
       granted++;
     }
@@ -187,6 +191,43 @@
     assertThat(available()).isEqualTo(1);
   }
 
+  /** Guards against a burst that is granted again when its workspace is removed and put back. */
+  @Test
+  void shouldNotGrantTheBurstAgainWhenTheWorkspaceIsRemovedAndPutBack() {
+    assertThat(available()).isEqualTo(BURST);
+    for (int i = 0; i < 3; i++) {
+      site.setWorkspaces(Map.of());
+      site.run(350, 0);
+      site.setQuota(RATE, BURST);
+      assertThat(available()).isLessThanOrEqualTo(1);
+    }
+  }
+
+  /** Guards against a burst that is granted again when the quota is lifted and set again. */
+  @Test
+  void shouldNotGrantTheBurstAgainWhenTheQuotaIsLiftedAndSetAgain() {
+    assertThat(available()).isEqualTo(BURST);
+    for (int i = 0; i < 3; i++) {
+      site.setQuota(0, 0);
+      site.run(350, 0);
+      site.setQuota(RATE, BURST);
+      assertThat(available()).isLessThanOrEqualTo(1);
+    }
+  }
+
+  /**
+   * Guards against a full burst right after a loss of all hosts, of a workspace that was removed
+   * before it and is put back: nobody knows what was granted before.
+   */
+  @Test
+  void shouldNotGrantTheWholeBurstWhenAWorkspaceIsPutBackAfterALossOfAllHosts() {
+    var restarted = new QuotaSimulation(6, 7, QuotaShare::of);
+    restarted.setWorkspaces(Map.of());
+    restarted.run(1_000, 0);
+    restarted.setQuota(RATE, 100);
+    assertThat(grantAll(restarted.owner().owners)).isLessThanOrEqualTo(13);
+  }
+
   /** Guards against memory that grows with workspaces that are gone or have no quota. */
   @Test
   void shouldKeepStateOnlyOfConfiguredWorkspacesWithAQuota() {
@@ -206,6 +247,23 @@
     assertThat(host.owners.decide("unknown", new PlacementKey(1, 1)))
         .isEqualTo(QuotaDecision.UNDECIDED);
     host.follow(QuotaSimulation.configuration(RATE, BURST));
+    assertThat(host.owners.size()).isEqualTo(5_000);
+    alone.run(2_000, 0);
     assertThat(host.owners.size()).isZero();
   }
+
+  /** Guards against memory that stays because a removed quota takes long to accrue again. */
+  @Test
+  void shouldForgetARemovedQuotaAfterTheRetentionTimeWhenItIsStillUsed() {
+    var alone = new QuotaSimulation(1, 7, QuotaShare::of);
+    alone.setQuota(0.001, BURST);
+    alone.run(5_000, 0);
+    QuotaOwners owners = alone.hosts.get(0).owners;
+    owners.decide(QuotaSimulation.WORKSPACE, new PlacementKey(1, 1));
+    alone.setWorkspaces(Map.of());
+    alone.run(ConfiguredQuotas.RETENTION_MS - 2_000, 0);
+    assertThat(owners.size()).isEqualTo(1);
+    alone.run(4_000, 0);
+    assertThat(owners.size()).isZero();
+  }
 }
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaSimulation.java
@@ -88,7 +88,15 @@
   }
 
   void setQuota(double rate, double burst) {
-    configuration = configuration(rate, burst);
+    enforce(configuration(rate, burst));
+  }
+
+  void setWorkspaces(Map<String, Workspace> workspaces) {
+    enforce(configuration(workspaces));
+  }
+
+  private void enforce(Optional<SiteConfiguration> next) {
+    configuration = next;
     if (ownersFollowChanges) {
       hosts.forEach(host -> host.follow(configuration));
     }
