Quotas: the permits of a restart are granted once

What callers would see: within 4 s of a loss of all hosts, a workspace gets more than the half second of its rate and 10 permits that are meant for it, each time a host loses its share of the quota and gets it again. Shown by a test without a network only.

Cause: the bucket goes with the share, and a new one of a host that is the first in that time starts with the permits of a restart.

Change: each host grants them once for each workspace; after that its bucket starts empty.

Test: QuotaClientTest.shouldGrantThePermitsOfARestartOnceWhenTheShareIsLostAndBack, failed with the code before.

--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -10,10 +10,12 @@
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.Workspace;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
@@ -52,6 +54,9 @@
   private final Map<String, QuotaBucket> buckets = new HashMap<>();
   private final ConfiguredQuotas configuredQuotas = new ConfiguredQuotas();
 
+  /** Workspaces that have got the permits of a restart of all hosts, which are granted once. */
+  private final Set<String> restarted = new HashSet<>();
+
   private long granted;
   private long refused;
   private long returned;
@@ -221,7 +226,9 @@
       return QuotaBucket.full(rate, workspace.burst(), share, nowMs);
     }
     if (standing.isFirst() && standing.longestRunningMs() <= QuotaShare.SETTLING_MS) {
-      return QuotaBucket.restarted(rate, workspace.burst(), share, standing.leadingSinceMs());
+      return restarted.add(workspace.name())
+          ? QuotaBucket.restarted(rate, workspace.burst(), share, standing.leadingSinceMs())
+          : QuotaBucket.empty(rate, workspace.burst(), share, nowMs);
     }
     if (standing.isFirst()) {
       return share < MIN_SHARE_WITH_A_PERMIT
--- a/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/scheduling/QuotaClientTest.java
@@ -228,6 +228,23 @@
     assertThat(grantAll(restarted.owner().owners)).isLessThanOrEqualTo(13);
   }
 
+  /** Guards against the permits of a restart that are granted at each return of a share. */
+  @Test
+  void shouldGrantThePermitsOfARestartOnceWhenTheShareIsLostAndBack() {
+    double[] share = {1};
+    var alone = new QuotaSimulation(1, 7, (rank, first, usable, known, running) -> share[0]);
+    alone.setQuota(RATE, BURST);
+    QuotaOwners owners = alone.hosts.get(0).owners;
+    int granted = 0;
+    for (int i = 0; i < 3; i++) {
+      share[0] = 1;
+      granted += grantAll(owners);
+      share[0] = 0;
+      granted += grantAll(owners);
+    }
+    assertThat(granted).isLessThanOrEqualTo((int) BURST);
+  }
+
   /** Guards against memory that grows with workspaces that are gone or have no quota. */
   @Test
   void shouldKeepStateOnlyOfConfiguredWorkspacesWithAQuota() {
