Routes: one without services is closed, not served by a shorter prefix

Change: a route without a service that gets requests is closed; it matches its requests and answers 404, as a path without a route does.

--- a/decisions/src/main/java/dev/cactusstack/decisions/matching/WeightedRoundRobin.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/matching/WeightedRoundRobin.java
@@ -18,7 +18,7 @@
   /**
    * Selects the service for the next request.
    *
-   * @param route the request's route
+   * @param route the request's route, which is not closed
    * @return the service's name
    */
   public String next(RouteRule route) {
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/ForwardingHandler.java
@@ -44,7 +44,7 @@
     }
     String host = request.headers().get(HttpHeaderNames.HOST, "");
     Optional<RouteRule> route = configuration.routeMatcher().match(host, request.target());
-    if (route.isEmpty()) {
+    if (route.isEmpty() || route.get().isClosed()) {
       return refuse(request, id.get(), Refusal.NO_ROUTE, responseConsumer);
     }
     CallerAuthentication.Verdict verdict =
--- a/model/src/main/java/dev/cactusstack/model/site/RouteRule.java
+++ b/model/src/main/java/dev/cactusstack/model/site/RouteRule.java
@@ -6,7 +6,8 @@
 /**
  * The handling of requests for one path prefix of one host name.
  *
- * <p>Invariant: there is at least one weighted service. Immutable and thread-safe.
+ * <p>A route without a service is closed: it matches its requests, so that no shorter prefix does,
+ * and serves none. Immutable and thread-safe.
  *
  * @param name the name that operators gave the route
  * @param host the host name in lower case, without a port
@@ -16,7 +17,8 @@
  * @param latencyObjectiveMs latency objective, in milliseconds
  * @param priority priority among routes; 0 is the highest
  * @param maxAttempts maximum number of upstreams to which one request may be sent
- * @param weightedServices the services among which the route's requests are divided
+ * @param weightedServices the services among which the route's requests are divided; empty if the
+ *     route is closed
  * @param isPublic whether callers need no API key
  */
 public record RouteRule(
@@ -38,9 +40,15 @@
     Objects.requireNonNull(prefix, "prefix is null");
     Objects.requireNonNull(kind, "kind is null");
     weightedServices = List.copyOf(weightedServices);
-    if (weightedServices.isEmpty()) {
-      throw new IllegalArgumentException("a route needs a service: " + name);
-    }
+  }
+
+  /**
+   * Checks whether the route serves no requests.
+   *
+   * @return true if it has no service
+   */
+  public boolean isClosed() {
+    return weightedServices.isEmpty();
   }
 
   /**
