Scheduler: an upstream that is put back keeps its slots and counts

What callers and upstreams would see: an upstream that can't be used for a moment, because its data centre is evacuated and taken back or its registration is missing and back, gets more requests than its slots, its warm-up rate and its limit allow.

Cause: UpstreamPool.update dropped everything known of an upstream that was not usable, so each return began with an empty warm-up window, free slots and without a limit.

Change: it is kept for 10 s, longer than a slot is held. Reports, notices and limits that arrive meanwhile are recorded in it, so that its slots are released; placements on it are not confirmed again.

Test: three tests failed with the code before: SchedulerTest.shouldKeepTheHeld- SlotsWhenAnUpstreamIsRemovedAndPutBack, .shouldKeepTheWarmupLimitWhenACold- UpstreamIsRemovedAndPutBack (27 requests in a second, 11 expected) and Scheduler- LimitTest.shouldKeepTheLimitAndItsCountWhenTheUpstreamIsRemovedAndPutBack. All tests of decisions pass.

--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/OpenPlacements.java
@@ -53,12 +53,17 @@
     return placement.decision(load, nowMs);
   }
 
-  /** Returns the decision of a placement again, unless the upstream has restarted since. */
+  /**
+   * Returns the decision of a placement again, unless the upstream is used no longer or has
+   * restarted since.
+   */
   Optional<PlacementDecision> findDecision(PlacementKey key, long nowMs) {
     Placement placement = placements.get(key);
     return placement == null
         ? Optional.empty()
-        : findLoad(placement).map(load -> placement.decision(load, nowMs));
+        : upstreams
+            .find(placement.upstream.id(), placement.upstream.startedAtMs())
+            .map(load -> placement.decision(load, nowMs));
   }
 
   /**
@@ -109,8 +114,9 @@
     rolloutPlacements.endPlacedBefore(cutoffMs);
   }
 
+  /** Finds the load that the placement is part of, also while its upstream can't be used. */
   private Optional<UpstreamLoad> findLoad(Placement placement) {
-    return upstreams.find(placement.upstream.id(), placement.upstream.startedAtMs());
+    return upstreams.findAlsoAbsent(placement.upstream.id(), placement.upstream.startedAtMs());
   }
 
   private record Placement(
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/Scheduler.java
@@ -97,12 +97,12 @@
   /**
    * Records a limit that another host knows of.
    *
-   * @param limit the limit; ignored unless that start of the upstream is in use
+   * @param limit the limit; ignored unless that start of the upstream is in use or was lately
    * @param nowMs the current time on the same clock
    */
   public void recordLimit(UpstreamLimit limit, long nowMs) {
     upstreams
-        .find(limit.upstreamId(), limit.startedAtMs())
+        .findAlsoAbsent(limit.upstreamId(), limit.startedAtMs())
         .ifPresent(load -> load.limit().record(limit.limit(), nowMs));
   }
 
@@ -166,7 +166,7 @@
   public void recordNotice(
       UpstreamRegistration upstream, int hostHash, UpstreamNotice notice, long nowMs) {
     upstreams
-        .find(upstream.id(), upstream.startedAtMs())
+        .findAlsoAbsent(upstream.id(), upstream.startedAtMs())
         .ifPresent(load -> load.recordNotice(hostHash, notice, nowMs));
   }
 
--- a/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
+++ b/decisions/src/main/java/dev/cactusstack/decisions/placing/UpstreamPool.java
@@ -14,8 +14,10 @@
 /**
  * The upstreams of one service as its scheduler sees them, and the choice among them.
  *
- * <p>Invariant: an upstream that has no free slot, that takes no requests of the host or that has
- * reached its limit is never chosen. Confined to one thread.
+ * <p>Invariants: an upstream that has no free slot, that takes no requests of the host or that has
+ * reached its limit is never chosen. An upstream that can't be used for a while, because its data
+ * centre is evacuated or its registration is missing, comes back with the slots and counts that it
+ * had. Confined to one thread.
  */
 final class UpstreamPool {
   private static final long LOAD_FRESHNESS_MS = 150;
@@ -23,6 +25,9 @@
   private static final double MS_PER_SECOND = 1_000;
   private static final double MAX_SERVICE_INTERVAL_MS = 60_000;
 
+  /** Longer than a slot is held and a count of placements matters, in milliseconds. */
+  static final long ABSENT_RETENTION_MS = 10_000;
+
   /** Costs that differ by less are considered equal. */
   private static final double EQUAL_COST_MS = 2;
 
@@ -31,6 +36,7 @@
   private final ResponseTimeEstimator responseTimeEstimator;
   private final RolloutPlacements rolloutPlacements;
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final Map<String, AbsentUpstream> absent = new HashMap<>();
   private final UpstreamStarts starts = new UpstreamStarts();
   private double meanSlowdown = 1.3;
   private int warmupLimit;
@@ -53,21 +59,40 @@
     warmupLimit = settings.warmupRequestLimit(serviceSettings.warmupRequestsPerSecond());
     Map<String, UpstreamLoad> nextLoads = new HashMap<>();
     for (UpstreamRegistration usableUpstream : usable) {
-      UpstreamLoad load = loads.get(usableUpstream.id());
-      if (load == null) {
-        load = new UpstreamLoad(usableUpstream, nowMs);
-      } else {
-        load.updateRegistration(usableUpstream, nowMs);
-      }
+      UpstreamLoad load = findOrCreate(usableUpstream, nowMs);
+      load.updateRegistration(usableUpstream, nowMs);
       load.limit().updateShare(limitShare, nowMs);
       nextLoads.put(usableUpstream.id(), load);
       starts.recordUse(usableUpstream, nowMs);
     }
     starts.forgetUnused(nowMs);
+    keepAbsent(nextLoads, nowMs);
     loads.clear();
     loads.putAll(nextLoads);
   }
 
+  private UpstreamLoad findOrCreate(UpstreamRegistration usable, long nowMs) {
+    UpstreamLoad present = loads.get(usable.id());
+    if (present != null) {
+      return present;
+    }
+    AbsentUpstream returned = absent.remove(usable.id());
+    return returned != null && nowMs - returned.sinceMs <= ABSENT_RETENTION_MS
+        ? returned.load
+        : new UpstreamLoad(usable, nowMs);
+  }
+
+  /** Keeps the upstreams that are used no longer, in case that they come back soon. */
+  private void keepAbsent(Map<String, UpstreamLoad> nextLoads, long nowMs) {
+    absent.values().removeIf(upstream -> nowMs - upstream.sinceMs > ABSENT_RETENTION_MS);
+    loads.forEach(
+        (id, load) -> {
+          if (!nextLoads.containsKey(id)) {
+            absent.put(id, new AbsentUpstream(load, nowMs));
+          }
+        });
+  }
+
   /** Sets the share of the upstreams' limits that this scheduler may use. */
   void updateLimitShare(double share, long nowMs) {
     if (share == limitShare) {
@@ -84,8 +109,18 @@
 
   /** Finds an upstream if a given start of it is in use. */
   Optional<UpstreamLoad> find(String upstreamId, long startedAtMs) {
+    return find(upstreamId).filter(upstream -> isStart(upstream, startedAtMs));
+  }
+
+  /** Finds an upstream if a given start of it is in use or was lately. */
+  Optional<UpstreamLoad> findAlsoAbsent(String upstreamId, long startedAtMs) {
     return find(upstreamId)
-        .filter(upstream -> upstream.registration().startedAtMs() == startedAtMs);
+        .or(() -> Optional.ofNullable(absent.get(upstreamId)).map(AbsentUpstream::load))
+        .filter(upstream -> isStart(upstream, startedAtMs));
+  }
+
+  private static boolean isStart(UpstreamLoad upstream, long startedAtMs) {
+    return upstream.registration().startedAtMs() == startedAtMs;
   }
 
   /** Finds an upstream if no other start of it has been in use lately. */
@@ -96,6 +131,7 @@
   /** Releases slots that have been held so long that no report is expected any more. */
   void releaseSlotsHeldBefore(long cutoffMs) {
     loads.values().forEach(upstream -> upstream.releaseSlotsHeldBefore(cutoffMs));
+    absent.values().forEach(upstream -> upstream.load.releaseSlotsHeldBefore(cutoffMs));
   }
 
   void updateMeanSlowdown(ReportedLoad reportedLoad) {
@@ -239,4 +275,12 @@
   Optional<String> describe(String upstreamId, long nowMs) {
     return find(upstreamId).map(upstream -> upstream.describe(meanSlowdown, nowMs));
   }
+
+  /**
+   * An upstream that is used no longer.
+   *
+   * @param load what was known of it
+   * @param sinceMs when it was last removed
+   */
+  private record AbsentUpstream(UpstreamLoad load, long sinceMs) {}
 }
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerLimitTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerLimitTest.java
@@ -93,6 +93,18 @@
     assertThat(place(1_000).isCounted()).isFalse();
   }
 
+  /** Guards against a limit that is forgotten, and a count that starts anew, for a moment away. */
+  @Test
+  void shouldKeepTheLimitAndItsCountWhenTheUpstreamIsRemovedAndPutBack() {
+    limit("a", 2, 0);
+    report(place(1_000, "b"), AttemptOutcome.ANSWERED, UpstreamNotice.NONE, 1_040);
+    report(place(1_000, "b"), AttemptOutcome.ANSWERED, UpstreamNotice.NONE, 1_040);
+    scheduler.updateUpstreams(SERVICE, List.of(upstream("b", 1)), 1_050);
+    scheduler.updateUpstreams(SERVICE, List.of(upstream("a", 1), upstream("b", 1)), 1_100);
+    assertThat(submit(request("b"), 1_100)).isNotInstanceOf(Placed.class);
+    assertThat(place(2_000, "b").isCounted()).isTrue();
+  }
+
   @Test
   void shouldUseTheOtherUpstreamWhenOneHasReachedItsLimit() {
     limit("a", 50, 0);
--- a/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
+++ b/decisions/src/test/java/dev/cactusstack/decisions/placing/SchedulerTest.java
@@ -70,6 +70,61 @@
     assertThat(counts).containsEntry("a", 2).containsEntry("b", 2).containsEntry("Queued", 2);
   }
 
+  /** Guards against slots that are used twice because their upstream was away for a moment. */
+  @Test
+  void shouldKeepTheHeldSlotsWhenAnUpstreamIsRemovedAndPutBack() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
+    PlacementDecision running = one(request(300), 0);
+    scheduler.updateUpstreams(RULE, List.of(), 100);
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 200);
+    assertThat(one(request(300), 200)).isInstanceOf(PlacementDecision.Queued.class);
+    List<PlacementDecision> next =
+        scheduler.report(end(running, AttemptOutcome.ANSWERED, 100), 250);
+    assertThat(next).singleElement().satisfies(d -> assertThat(placedOn(d)).isEqualTo("a"));
+  }
+
+  /**
+   * Guards against a slot that stays held because its request ended while the upstream was away.
+   */
+  @Test
+  void shouldReleaseTheSlotWhenAnAttemptEndsWhileItsUpstreamIsAway() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
+    PlacementRequest first = request(300);
+    PlacementDecision running = one(first, 0);
+    scheduler.updateUpstreams(RULE, List.of(), 100);
+    assertThat(one(first, 120)).isInstanceOf(PlacementDecision.Rejected.class);
+    scheduler.report(end(running, AttemptOutcome.ANSWERED, 100), 150);
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 200);
+    assertThat(placedOn(one(request(300), 200))).isEqualTo("a");
+  }
+
+  /** Guards against a burst on a cold upstream each time it is removed and put back. */
+  @Test
+  void shouldKeepTheWarmupLimitWhenAColdUpstreamIsRemovedAndPutBack() {
+    List<UpstreamRegistration> cold = List.of(upstream("a", 100, 3_000));
+    int placed = 0;
+    for (long now = 0; now < 1_000; now += 10) {
+      scheduler.updateUpstreams(RULE, now % 200 == 100 ? List.of() : cold, now);
+      PlacementDecision decision = one(request(0), now);
+      if (decision instanceof PlacementDecision.Placed) {
+        placed++;
+        scheduler.report(end(decision, AttemptOutcome.ANSWERED, 100), now + 5);
+      }
+    }
+    assertThat(placed).isEqualTo(SETTINGS.warmupRequestLimit(RULE.warmupRequestsPerSecond()));
+  }
+
+  /** Guards against memory that grows with upstreams that never come back. */
+  @Test
+  void shouldForgetAnUpstreamWhenItStaysAway() {
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
+    one(request(300), 0);
+    scheduler.updateUpstreams(RULE, List.of(), 100);
+    long back = 100 + UpstreamPool.ABSENT_RETENTION_MS + 1;
+    scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), back);
+    assertThat(placedOn(one(request(300), back))).isEqualTo("a");
+  }
+
   @Test
   void shouldPlaceTheQueuedRequestWhenAnAttemptEnds() {
     scheduler.updateUpstreams(RULE, List.of(upstream("a", 1, 0)), 0);
