Restore: an evacuation that the store has lost is held for 10 s

Cause: rules are held after a restore, but evacuations were taken as the restored store had them, so that a missing row allowed what operators had forbidden.

Change: RestoredEvacuations decides that an evacuation in force which the restored store lacks stays in force until operators write it or take it back, or for 10 s. Hosts tell each other only the evacuations that the store has. The read at the end of the time is repeated until one succeeds; a failed one had left what was held in force until the next change. HeldRulesReader is now HeldConfigurationReader.

Not played with real hosts.

--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationController.java
@@ -1,6 +1,7 @@
 package dev.cactusstack.gateway.control;
 
 import dev.cactusstack.decisions.matching.RouteMatcher;
+import dev.cactusstack.decisions.recovery.RestoredEvacuations;
 import dev.cactusstack.decisions.recovery.RestoredRules;
 import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.decisions.workspaces.WorkspaceKeys;
@@ -32,11 +33,11 @@
  * read.
  *
  * <p>A revision here is a pair of the store's era and revision. After a restore of the store, the
- * evacuations and rollout orders are those of the restored store, and {@link RestoredRules} decides
- * about the rest.
+ * rollout orders are those of the restored store, {@link RestoredEvacuations} decides about the
+ * evacuations and {@link RestoredRules} about the rest.
  *
  * <p>{@link ConfigurationFollower} and {@link ConfigurationReads} read the store, {@link
- * MissingRevisions} and {@link HeldRulesReader} decide when it is read again, and {@link
+ * MissingRevisions} and {@link HeldConfigurationReader} decide when it is read again, and {@link
  * ConfigurationState} merges what arrives.
  *
  * <p>Invariant: the configuration in force never reverts to an older revision. Confined to the
@@ -50,7 +51,7 @@
   private final ConfigurationReads reads;
   private final ConfigurationFollower follower;
   private final MissingRevisions missingRevisions;
-  private final HeldRulesReader heldRulesReader;
+  private final HeldConfigurationReader heldConfigurationReader;
   private Runnable changeListener = () -> {};
   private Consumer<ConfigurationSnapshot> snapshotListener = k -> {};
 
@@ -79,7 +80,7 @@
         new ConfigurationFollower(
             loop, clock, log, store, isReader, state, reads, this::applyFromStore);
     this.missingRevisions = new MissingRevisions(loop, clock, log, state, reads, isHostStart);
-    this.heldRulesReader = new HeldRulesReader(loop, clock, log, state, reads);
+    this.heldConfigurationReader = new HeldConfigurationReader(loop, clock, log, state, reads);
   }
 
   /**
@@ -246,7 +247,7 @@
   private void onUpdate(ConfigurationState.Update update) {
     SiteConfiguration configuration = update.configuration();
     follower.advanceTo(configuration.revision());
-    heldRulesReader.schedule();
+    heldConfigurationReader.schedule();
     if (update.rulesChanged()) {
       index.update(configuration);
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationMerge.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationMerge.java
@@ -14,12 +14,13 @@
   private ConfigurationMerge() {}
 
   /**
-   * Merges a change.
+   * Merges a change, but for its evacuations, which may be held after a restore.
    *
    * @param previous the configuration in force, if one is known
    * @param change the change
    * @param takesRules whether the rules of the change, which it then has, replace those in force
-   * @return the configuration after the change, or null if there are no rules
+   * @return the configuration after the change with the evacuations before it, or null if there are
+   *     no rules
    */
   static @Nullable SiteConfiguration merge(
       @Nullable SiteConfiguration previous, ConfigurationChange change, boolean takesRules) {
@@ -31,7 +32,7 @@
           routingRules.routes(),
           routingRules.services(),
           routingRules.limits(),
-          mergeEvacuated(previous, change),
+          previous == null ? Set.of() : previous.evacuated(),
           routingRules.access(),
           mergeRollouts(previous, change));
     }
@@ -44,7 +45,7 @@
         previous.routes(),
         previous.services(),
         previous.limits(),
-        mergeEvacuated(previous, change),
+        previous.evacuated(),
         previous.access(),
         mergeRollouts(previous, change));
   }
@@ -64,11 +65,17 @@
         && a.access().equals(b.access());
   }
 
-  private static Set<String> mergeEvacuated(
-      @Nullable SiteConfiguration previous, ConfigurationChange change) {
+  /**
+   * Merges the evacuations of a change.
+   *
+   * @param previous names of the data centres that the store had as evacuated
+   * @param change the change
+   * @return names of those that it has after the change
+   */
+  static Set<String> mergeEvacuated(Set<String> previous, ConfigurationChange change) {
     Set<String> evacuated = new HashSet<>();
-    if (previous != null && !change.fullSnapshot()) {
-      evacuated.addAll(previous.evacuated());
+    if (!change.fullSnapshot()) {
+      evacuated.addAll(previous);
     }
     change
         .evacuations()
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationState.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/ConfigurationState.java
@@ -1,11 +1,13 @@
 package dev.cactusstack.gateway.control;
 
+import dev.cactusstack.decisions.recovery.RestoredEvacuations;
 import dev.cactusstack.decisions.recovery.RestoredRules;
 import dev.cactusstack.decisions.recovery.StoreRevision;
 import dev.cactusstack.gateway.site.ConfigurationChange;
 import dev.cactusstack.gateway.site.ConfigurationSnapshot;
 import dev.cactusstack.model.site.SiteConfiguration;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,7 +19,12 @@
  */
 final class ConfigurationState {
   private final RestoredRules restoredRules = new RestoredRules();
+  private final RestoredEvacuations restoredEvacuations = new RestoredEvacuations();
   private @Nullable SiteConfiguration current;
+
+  /** Evacuated data centres by the store; those in force may be more after a restore. */
+  private Set<String> storedEvacuated = Set.of();
+
   private long lastChangeRevision;
   private long rulesEra;
 
@@ -65,31 +72,46 @@
   }
 
   /**
-   * Returns the configuration in force with the revision of its newest change.
+   * Returns the configuration in force with the revision of its newest change, as other hosts
+   * receive it: with the evacuations that the store has. Each host holds those that it knew itself.
    *
    * @return the configuration, or nothing before one is known
    */
   Optional<ConfigurationSnapshot> snapshot() {
-    return current().map(known -> new ConfigurationSnapshot(known, lastChangeRevision, rulesEra));
+    return current().map(this::toSnapshot);
+  }
+
+  private ConfigurationSnapshot toSnapshot(SiteConfiguration known) {
+    return new ConfigurationSnapshot(
+        known.withEvacuated(storedEvacuated), lastChangeRevision, rulesEra);
   }
 
   /**
-   * Checks whether the rules in force were read before the restore that is known.
+   * Checks whether something in force was read before the restore that is known.
    *
-   * @return true while the rules are held although the store has older ones
+   * @return true while rules are held although the store has older ones, or evacuations although
+   *     the store does not have them
    */
-  boolean holdsRules() {
+  boolean isHolding() {
+    return holdsRules() || holdsEvacuations();
+  }
+
+  private boolean holdsRules() {
     return current != null && rulesEra < StoreRevision.eraOf(current.revision());
   }
 
+  private boolean holdsEvacuations() {
+    return current != null && !current.evacuated().equals(storedEvacuated);
+  }
+
   /**
-   * Returns how long the rules in force are still held.
+   * Returns how long what is held stays in force unless the store changes.
    *
    * @param nowMs the current time on a monotonic clock, in milliseconds
-   * @return milliseconds from now
+   * @return milliseconds from now until the first of it may no longer be in force
    */
-  long heldRulesRemainingMs(long nowMs) {
-    return restoredRules.remainingMs(nowMs);
+  long holdRemainingMs(long nowMs) {
+    return Math.min(restoredRules.remainingMs(nowMs), restoredEvacuations.remainingMs(nowMs));
   }
 
   /**
@@ -108,10 +130,11 @@
     boolean takesRules = takesRules(previous, change, changeRulesEra, nowMs);
     boolean lastChangeKnown = change.lastChangeRevision() > lastChangeRevision;
     lastChangeRevision = Math.max(lastChangeRevision, change.lastChangeRevision());
-    SiteConfiguration next = ConfigurationMerge.merge(previous, change, takesRules);
-    if (next == null) {
+    SiteConfiguration merged = ConfigurationMerge.merge(previous, change, takesRules);
+    if (merged == null) {
       return Optional.empty();
     }
+    SiteConfiguration next = merged.withEvacuated(evacuatedAfter(previous, change, nowMs));
     current = next;
     rulesEra = takesRules ? changeRulesEra : rulesEra;
     boolean rulesChanged =
@@ -136,12 +159,29 @@
       // A full snapshot does not tell the revision at which an evacuation was taken back.
       lastChangeRevision = update.configuration().revision();
     }
-    return new ConfigurationSnapshot(update.configuration(), lastChangeRevision, rulesEra);
+    return toSnapshot(update.configuration());
+  }
+
+  /** Returns the evacuations after a change: those that the store has, and those that are held. */
+  private Set<String> evacuatedAfter(
+      @Nullable SiteConfiguration previous, ConfigurationChange change, long nowMs) {
+    storedEvacuated = ConfigurationMerge.mergeEvacuated(storedEvacuated, change);
+    if (previous != null && isLaterEra(change.revision(), previous.revision())) {
+      restoredEvacuations.onRestored(previous.evacuated(), storedEvacuated, nowMs);
+    }
+    change.evacuations().keySet().forEach(restoredEvacuations::release);
+    Set<String> evacuated = restoredEvacuations.held(nowMs);
+    evacuated.addAll(storedEvacuated);
+    return evacuated;
+  }
+
+  private static boolean isLaterEra(long revision, long than) {
+    return StoreRevision.eraOf(revision) > StoreRevision.eraOf(than);
   }
 
   private boolean isOutdated(SiteConfiguration previous, ConfigurationChange change) {
     return change.revision() < previous.revision()
-        || change.revision() == previous.revision() && !holdsRules();
+        || change.revision() == previous.revision() && !isHolding();
   }
 
   private boolean takesRules(
--- a/gateway/src/main/java/dev/cactusstack/gateway/control/HeldRulesReader.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/control/HeldConfigurationReader.java
@@ -6,10 +6,10 @@
 import java.util.function.LongSupplier;
 
 /**
- * Reads the store again when its older rules would replace those that are held after a restore.
- * Confined to the event loop.
+ * Reads the store again when what it has would replace rules or evacuations that are held after a
+ * restore, and until a read succeeds. Confined to the event loop.
  */
-final class HeldRulesReader {
+final class HeldConfigurationReader {
   private static final long MIN_WAIT_MS = ConfigurationFollower.READ_RETRY_MS;
 
   private final EventLoop loop;
@@ -28,7 +28,7 @@
    * @param state the configuration in force
    * @param reads reads the store
    */
-  HeldRulesReader(
+  HeldConfigurationReader(
       EventLoop loop,
       LongSupplier clock,
       EventLog log,
@@ -41,21 +41,30 @@
     this.reads = reads;
   }
 
-  /** Schedules a read if rules are held and none is scheduled. */
+  /** Schedules a read if something is held and none is scheduled. */
   void schedule() {
-    if (scheduled || !state.holdsRules()) {
+    if (scheduled || !state.isHolding()) {
       return;
     }
-    scheduled = true;
-    long waitMs = Math.max(MIN_WAIT_MS, state.heldRulesRemainingMs(clock.getAsLong()));
+    long waitMs = waitMs();
     log.event("configuration_held").with("for_ms", waitMs).write();
-    loop.schedule(this::readIfHeld, waitMs, TimeUnit.MILLISECONDS);
+    scheduleAfter(waitMs);
   }
 
   private void readIfHeld() {
     scheduled = false;
-    if (state.holdsRules()) {
+    if (state.isHolding()) {
       reads.read();
+      scheduleAfter(waitMs());
     }
   }
+
+  private long waitMs() {
+    return Math.max(MIN_WAIT_MS, state.holdRemainingMs(clock.getAsLong()));
+  }
+
+  private void scheduleAfter(long waitMs) {
+    scheduled = true;
+    loop.schedule(this::readIfHeld, waitMs, TimeUnit.MILLISECONDS);
+  }
 }
--- a/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
+++ b/model/src/main/java/dev/cactusstack/model/site/SiteConfiguration.java
@@ -56,6 +56,17 @@
     this(revision, version, routes, services, limits, evacuated, CallerAccess.OPEN, Map.of());
   }
 
+  /**
+   * Returns the same configuration with other evacuations.
+   *
+   * @param dataCentres names of the data centres that receive no traffic
+   * @return the configuration
+   */
+  public SiteConfiguration withEvacuated(Set<String> dataCentres) {
+    return new SiteConfiguration(
+        revision, version, routes, services, limits, dataCentres, access, rollouts);
+  }
+
   /**
    * Returns the workspaces of the site.
    *
