--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -458,7 +458,11 @@
     }
     boolean finished = !accepting && callers.isEmpty();
     if (finished || elapsedMs > settings.bounds().terminationGraceMs() - EXIT_MARGIN_MS) {
-      log.event("left").with("in_flight", callers.inFlight()).with("after_ms", elapsedMs).write();
+      log.event("left")
+          .with("in_flight", callers.inFlight())
+          .with("unsent", callers.unsentConnections())
+          .with("after_ms", elapsedMs)
+          .write();
       drained.complete(null);
       return;
     }
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -31,8 +32,9 @@
  * A connection of a caller, with HTTP/1.1 pipelining.
  *
  * <p>A request runs as soon as it is complete. Responses are sent in the order of the requests.
- * When the caller closes the connection, its running requests are cancelled. Confined to the event
- * loop.
+ * When the caller closes the connection, its running requests are cancelled. Invariant: while a
+ * caller goes on reading responses that it has not received, the connection counts as used.
+ * Confined to the event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private static final int MAX_PIPELINED = 32;
@@ -52,6 +54,7 @@
   private boolean servedRequest;
   private final long openedAtMs;
   private long lastActivityMs;
+  private long lastUnsentBytes;
   private long headReceivedMs;
 
   CallerConnection(CallerListener listener, Channel channel, CallerLimits limits) {
@@ -66,18 +69,36 @@
     return pipeline.size() + (head != null ? 1 : 0);
   }
 
+  /** Checks whether a part of a response waits for the caller to read. */
+  boolean hasUnsentResponses() {
+    return unsentBytes() > 0;
+  }
+
+  /** Returns a measure of what the caller has not read yet, which falls with each byte sent. */
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    if (buffer == null) {
+      return 0;
+    }
+    // A message that is sent in part counts as a whole in the sum.
+    long unsentOfFirst = buffer.current() instanceof ByteBuf first ? first.readableBytes() : 0;
+    return buffer.totalPendingWriteBytes() + unsentOfFirst;
+  }
+
   /**
-   * Closes the connection if no request is in flight. A connection on which no request has arrived
-   * yet stays open for a moment, because its first request is probably on the way.
+   * Closes the connection if no request is in flight and all responses are sent. A connection on
+   * which no request has arrived yet stays open for a moment, because its first request is probably
+   * on the way.
    */
   void closeIfUnused(long nowMs) {
     boolean awaitsFirstRequest = !servedRequest && nowMs - openedAtMs < FIRST_REQUEST_WAIT_MS;
-    if (inFlight() == 0 && !closing && !awaitsFirstRequest) {
+    if (inFlight() == 0 && !hasUnsentResponses() && !closing && !awaitsFirstRequest) {
       channel.close();
     }
   }
 
   void closeIfTimedOut(CallerLimits l, long nowMs) {
+    recordProgress(nowMs);
     boolean idle = inFlight() == 0 && nowMs - lastActivityMs > l.idleTimeoutMs();
     boolean stalled =
         head != null && pipeline.isEmpty() && nowMs - lastActivityMs > l.idleTimeoutMs();
@@ -86,6 +107,15 @@
     }
   }
 
+  /** Counts it as activity that the caller has read something since the last call. */
+  private void recordProgress(long nowMs) {
+    long unsent = unsentBytes();
+    if (unsent < lastUnsentBytes) {
+      lastActivityMs = nowMs;
+    }
+    lastUnsentBytes = unsent;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object msg) {
     lastActivityMs = listener.now();
--- a/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerListener.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/callers/CallerListener.java
@@ -114,7 +114,7 @@
     draining = true;
   }
 
-  /** Closes connections without requests in flight. */
+  /** Closes connections without requests in flight and without responses to send. */
   public void closeUnusedConnections() {
     long now = clock.getAsLong();
     List.copyOf(connections).forEach(c -> c.closeIfUnused(now));
@@ -129,6 +129,15 @@
     return connections.stream().mapToInt(CallerConnection::inFlight).sum();
   }
 
+  /**
+   * Counts connections whose callers have not read all of their responses.
+   *
+   * @return the count
+   */
+  public long unsentConnections() {
+    return connections.stream().filter(CallerConnection::hasUnsentResponses).count();
+  }
+
   /**
    * Checks whether all connections are closed.
    *
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/CallerConnectionTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/CallerConnectionTest.java
@@ -5,6 +5,8 @@
 import dev.cactusstack.model.site.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.charset.StandardCharsets;
@@ -144,6 +146,74 @@
     assertThat(channel.isActive()).isFalse();
   }
 
+  /** Keeps what is written, like the connection of a caller that does not read. */
+  private final class SlowReader extends ChannelOutboundHandlerAdapter {
+    private boolean reads;
+
+    SlowReader() {
+      channel.pipeline().addFirst(this);
+    }
+
+    @Override
+    public void flush(ChannelHandlerContext ctx) {
+      if (reads) {
+        ctx.flush();
+      }
+    }
+
+    void readAll() {
+      reads = true;
+      channel.flush();
+    }
+  }
+
+  /** Guards against a planned stop that breaks off responses which callers are still reading. */
+  @Test
+  void shouldStayOpenWhenTheCallerHasNotReadAllResponses() {
+    var reader = new SlowReader();
+    send(get("/1") + get("/2"));
+    pendingResponses.get("/1").accept(CallerResponse.json(200, "1"));
+    pendingResponses.get("/2").accept(CallerResponse.json(200, "2"));
+    listener.startDraining();
+    connection.closeIfUnused(1_000);
+    assertThat(connection.hasUnsentResponses()).isTrue();
+    assertThat(channel.isActive()).isTrue();
+    reader.readAll();
+    connection.closeIfUnused(1_000);
+    assertThat(channel.isActive()).isFalse();
+    assertThat(readResponses()).contains("1").contains("2");
+  }
+
+  /** Guards against an idle timeout that breaks off a response which the caller goes on reading. */
+  @Test
+  void shouldNotTimeOutWhileTheCallerReads() {
+    long idleMs = LIMITS.idleTimeoutMs();
+    var reader = new SlowReader();
+    send(get("/1") + get("/2"));
+    pendingResponses.get("/1").accept(CallerResponse.json(200, "1"));
+    connection.closeIfTimedOut(LIMITS, 10);
+    pendingResponses.get("/2").accept(CallerResponse.json(200, "2"));
+    connection.closeIfTimedOut(LIMITS, idleMs);
+    reader.readAll();
+    connection.closeIfTimedOut(LIMITS, idleMs + 10);
+    connection.closeIfTimedOut(LIMITS, 2 * idleMs);
+    assertThat(channel.isActive()).isTrue();
+    connection.closeIfTimedOut(LIMITS, 2 * idleMs + 11);
+    assertThat(channel.isActive()).isFalse();
+  }
+
+  /** Guards against memory that a caller holds by not reading. */
+  @Test
+  void shouldTimeOutWhenTheCallerStopsReading() {
+    new SlowReader();
+    send(get("/1"));
+    pendingResponses.get("/1").accept(CallerResponse.json(200, "1"));
+    connection.closeIfTimedOut(LIMITS, LIMITS.idleTimeoutMs());
+    assertThat(channel.isActive()).isTrue();
+    connection.closeIfTimedOut(LIMITS, LIMITS.idleTimeoutMs() + 1);
+    assertThat(channel.isActive()).isFalse();
+  }
+
   @Test
   void shouldCloseAtOnceWhenItIsUnusedAfterARequest() {
     send(get("/1"));
