--- a/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/Gateway.java
@@ -248,6 +248,7 @@
     this.directory = createPort(List.of(siteEndpoints.directory()));
     this.metrics = createPort(List.of(new MetricsHandler(gatewayMetrics)));
     registerCounters(gatewayMetrics, store, prober, noticeReader.notices());
+    quotas.registerCounters(gatewayMetrics);
     rollouts.registerCounters(gatewayMetrics);
   }
 
@@ -280,22 +281,6 @@
         "cactusstack_upstream_limits",
         "Times that this host learned that an upstream limits the requests of all hosts",
         notices::limitCount);
-    registry.registerCounter(
-        "cactusstack_quota_permits_granted",
-        "Permits that this host granted to itself and other hosts",
-        quotaOwners::grantedCount);
-    registry.registerCounter(
-        "cactusstack_quota_permits_refused",
-        "Requests for a permit that this host refused",
-        quotaOwners::refusedCount);
-    registry.registerCounter(
-        "cactusstack_quota_permits_returned",
-        "Permits returned in time because their requests did not run",
-        quotaOwners::returnedCount);
-    registry.registerCounter(
-        "cactusstack_quota_own_share_decisions",
-        "Requests decided by this host's own share because no owner answered",
-        quotas::ownShareDecisionCount);
     registry.registerCounter(
         "cactusstack_link_messages", "Messages sent to other hosts", link::sentMessageCount);
     registry.registerCounter(
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaClient.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaClient.java
@@ -3,6 +3,7 @@
 import dev.cactusstack.decisions.placing.PlacementKey;
 import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.observe.GatewayMetrics;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.HostRegistration;
 import io.netty.channel.EventLoop;
@@ -104,11 +105,20 @@
   }
 
   /**
-   * Returns how many requests this host decided by its own share although it is not the owner.
+   * Registers the counters of permits.
    *
-   * @return the count
+   * @param registry the host's metrics
    */
-  public long ownShareDecisionCount() {
+  public void registerCounters(GatewayMetrics registry) {
+    owners.registerCounters(registry);
+    registry.registerCounter(
+        "cactusstack_quota_own_share_decisions",
+        "Requests decided by this host's own share because no owner answered",
+        this::ownShareDecisionCount);
+  }
+
+  /** Returns how many requests this host decided by its own share although it is not the owner. */
+  long ownShareDecisionCount() {
     return ownShareDecisions;
   }
 
--- a/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
+++ b/gateway/src/main/java/dev/cactusstack/gateway/scheduling/QuotaOwners.java
@@ -6,6 +6,7 @@
 import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.decisions.quotas.QuotaShare;
 import dev.cactusstack.gateway.observe.EventLog;
+import dev.cactusstack.gateway.observe.GatewayMetrics;
 import dev.cactusstack.model.site.HostRegistration;
 import dev.cactusstack.model.site.SiteConfiguration;
 import dev.cactusstack.model.site.Workspace;
@@ -309,29 +310,32 @@
   }
 
   /**
-   * Returns how many permits this host has granted.
+   * Registers the counters of the permits that this host grants.
    *
-   * @return the count, without repeated answers
+   * @param registry the host's metrics
    */
-  public long grantedCount() {
-    return granted;
+  void registerCounters(GatewayMetrics registry) {
+    registry.registerCounter(
+        "cactusstack_quota_permits_granted",
+        "Permits that this host granted to itself and other hosts",
+        this::grantedCount);
+    registry.registerCounter(
+        "cactusstack_quota_permits_refused",
+        "Requests for a permit that this host refused",
+        () -> refused);
+    registry.registerCounter(
+        "cactusstack_quota_permits_returned",
+        "Permits returned in time because their requests did not run",
+        this::returnedCount);
   }
 
-  /**
-   * Returns how many requests for a permit this host has refused.
-   *
-   * @return the count, without repeated answers
-   */
-  public long refusedCount() {
-    return refused;
+  /** Returns how many permits this host has granted, without repeated answers. */
+  long grantedCount() {
+    return granted;
   }
 
-  /**
-   * Returns how many permits were returned in time to be granted again.
-   *
-   * @return the count
-   */
-  public long returnedCount() {
+  /** Returns how many permits were returned in time to be granted again. */
+  long returnedCount() {
     return returned;
   }
 }
