--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/ForwardedQuotaTest.java
@@ -2,32 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.cactusstack.decisions.gossip.HeartbeatState;
-import dev.cactusstack.decisions.gossip.PeerTable;
-import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
-import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.quotas.QuotaDecision;
 import dev.cactusstack.decisions.workspaces.WorkspaceKeys;
-import dev.cactusstack.gateway.control.UpstreamsController;
-import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
-import dev.cactusstack.gateway.observe.GatewayMetrics;
-import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
-import dev.cactusstack.gateway.scheduling.LocalSchedulers;
-import dev.cactusstack.gateway.scheduling.NoticeReader;
-import dev.cactusstack.gateway.scheduling.PlacementClient;
-import dev.cactusstack.gateway.scheduling.QuotaClient;
-import dev.cactusstack.gateway.scheduling.QuotaOwners;
-import dev.cactusstack.gateway.scheduling.UpstreamProber;
-import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import dev.cactusstack.model.Address;
-import dev.cactusstack.model.site.HostRegistration;
-import dev.cactusstack.model.site.RequestKind;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import dev.cactusstack.model.site.Workspace;
@@ -37,7 +20,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -45,8 +27,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -58,28 +38,13 @@
 /** The permit of a forwarded request, which another host grants. */
 class ForwardedQuotaTest {
   private static final Address OWNER = new Address("127.0.0.1", 9);
-  private static final int HASH = PeerTable.hash("self");
-  private static final RouteRule ROUTE =
-      new RouteRule(
-          "r",
-          "h",
-          "/",
-          RequestKind.IDEMPOTENT,
-          60_000,
-          2_000,
-          1,
-          1,
-          List.of(new RouteRule.WeightedService("s", 1)));
+  private static final RouteRule ROUTE = ForwardingFixture.route(60_000);
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
-  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
-  private final UpstreamHeaders headers = stub(UpstreamHeaders.class);
-  private final NoticeReader noticeReader = new NoticeReader(() -> 0L, log, headers);
-  private final HttpClient client =
-      new HttpClient(loop, new HttpClientSettings(5_000, 5_000, false, 1_000, 1_000), () -> 0L);
+  private final UpstreamHeaders headers = ForwardingFixture.stub(UpstreamHeaders.class);
   private final List<LinkMessage> sent = new CopyOnWriteArrayList<>();
   private final BlockingQueue<CallerResponse> responses = new LinkedBlockingQueue<>();
 
@@ -87,80 +52,17 @@
   private final List<Integer> ports = new CopyOnWriteArrayList<>();
 
   private volatile QuotaDecision permit = QuotaDecision.GRANTED;
-  private final PlacementClient placement =
-      new PlacementClient(
+  private final ForwardingFixture host =
+      new ForwardingFixture(
           loop,
-          () -> 0L,
-          log,
-          this::send,
-          peers,
-          new LocalSchedulers(
-              loop,
-              () -> 0L,
-              log,
-              new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
-              new UpstreamsController(
-                  loop,
-                  () -> 0L,
-                  () -> 0L,
-                  log,
-                  stub(SiteStore.class),
-                  Optional::empty,
-                  () -> false),
-              new UpstreamProber(client, headers, noticeReader),
-              new LimitShares(peers, HASH, () -> true),
-              () -> false,
-              new Random(1),
-              HASH),
-          noticeReader.notices(),
-          "self",
-          0);
-  private final QuotaClient quotas =
-      new QuotaClient(
-          loop,
-          () -> 0L,
-          log,
-          this::send,
-          HASH,
-          new QuotaOwners(() -> 0L, log, peers, HASH, () -> true, Optional::empty),
-          placement::nextKey);
-  private final ForwardingContext context =
-      new ForwardingContext(
-          "dc",
-          loop,
-          () -> 0L,
           log,
           headers,
           new CallerAuthentication(() -> WorkspaceKeys.NONE, () -> false, headers),
-          client,
-          placement,
-          quotas,
-          noticeReader,
-          new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
-          Optional.empty(),
-          new GatewayMetrics());
+          new HttpClientSettings(5_000, 5_000, false, 1_000, 1_000),
+          this::send);
 
   ForwardedQuotaTest() {
-    register("self", new Address("127.0.0.1", 8), 600);
-    register("owner", OWNER, 6_000);
-  }
-
-  private static <T> T stub(Class<T> type) {
-    return type.cast(
-        Proxy.newProxyInstance(
-            type.getClassLoader(),
-            new Class<?>[] {type},
-            (proxy, method, args) ->
-                method.getReturnType() == OptionalLong.class
-                    ? OptionalLong.empty()
-                    : method.getReturnType() == Optional.class ? Optional.empty() : null));
-  }
-
-  private void register(String name, Address address, int milliCores) {
-    peers.recordStart(new HostRegistration(name, "dc", address, address, milliCores, 1), 0);
-    peers.mergeHeartbeats(
-        List.of(new HeartbeatState(PeerTable.hash(name), 1, 1, false, StoreContact.UNKNOWN, true)),
-        0);
+    host.registerWith("owner", OWNER);
   }
 
   @AfterEach
@@ -173,7 +75,7 @@
     sent.add(message);
     if (message instanceof LinkMessage.QuotaRequested requested) {
       var decided = new LinkMessage.QuotaDecided(requested.key(), permit);
-      loop.execute(() -> quotas.onMessage(decided, to));
+      loop.execute(() -> host.quotas.onMessage(decided, to));
     } else if (message instanceof LinkMessage.RequestSubmitted submitted) {
       PlacementKey key = submitted.request().key();
       int port = ports.isEmpty() ? 0 : ports.remove(0);
@@ -181,7 +83,7 @@
           port == 0
               ? new PlacementDecision.Rejected(key, 50)
               : new PlacementDecision.Placed(key, upstream(port));
-      loop.execute(() -> placement.onMessage(new LinkMessage.DecisionMade(decision, 0), to));
+      loop.execute(() -> host.placement.onMessage(new LinkMessage.DecisionMade(decision, 0), to));
     }
   }
 
@@ -189,7 +91,8 @@
     var workspace = new Workspace("w", Set.of(), OptionalInt.empty(), rate, 30);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
     var forwarded =
-        new ForwardedRequest(context, request, "id", ROUTE, Optional.of(workspace), responses::add);
+        new ForwardedRequest(
+            host.context, request, "id", ROUTE, Optional.of(workspace), responses::add);
     loop.submit(forwarded::start).syncUninterruptibly();
     return forwarded;
   }
@@ -246,7 +149,8 @@
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
     var workspace = new Workspace("w", Set.of(), OptionalInt.empty(), 12.5, 30);
     var forwarded =
-        new ForwardedRequest(context, request, "id", ROUTE, Optional.of(workspace), responses::add);
+        new ForwardedRequest(
+            host.context, request, "id", ROUTE, Optional.of(workspace), responses::add);
     Runnable startAndLeave =
         () -> {
           forwarded.start();
--- a/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/callers/SenderCheckTest.java
@@ -2,35 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.cactusstack.decisions.gossip.HeartbeatState;
-import dev.cactusstack.decisions.gossip.PeerTable;
-import dev.cactusstack.decisions.gossip.StoreContact;
 import dev.cactusstack.decisions.limits.RequestLimit;
 import dev.cactusstack.decisions.placing.PlacementDecision;
 import dev.cactusstack.decisions.placing.PlacementKey;
-import dev.cactusstack.decisions.placing.SchedulerSettings;
 import dev.cactusstack.decisions.placing.UpstreamNotice;
 import dev.cactusstack.decisions.workspaces.WorkspaceKeys;
-import dev.cactusstack.gateway.control.UpstreamsController;
-import dev.cactusstack.gateway.net.HttpClient;
 import dev.cactusstack.gateway.net.HttpClientSettings;
 import dev.cactusstack.gateway.observe.EventLog;
-import dev.cactusstack.gateway.observe.GatewayMetrics;
-import dev.cactusstack.gateway.scheduling.LimitShares;
 import dev.cactusstack.gateway.scheduling.Link;
 import dev.cactusstack.gateway.scheduling.LinkMessage;
-import dev.cactusstack.gateway.scheduling.LocalSchedulers;
-import dev.cactusstack.gateway.scheduling.NoticeReader;
-import dev.cactusstack.gateway.scheduling.PlacementClient;
-import dev.cactusstack.gateway.scheduling.QuotaClient;
-import dev.cactusstack.gateway.scheduling.QuotaOwners;
-import dev.cactusstack.gateway.scheduling.UpstreamProber;
-import dev.cactusstack.gateway.site.SiteStore;
 import dev.cactusstack.gateway.site.UpstreamHeaders;
 import dev.cactusstack.model.Address;
 import dev.cactusstack.model.site.ApiKeyDigest;
-import dev.cactusstack.model.site.HostRegistration;
-import dev.cactusstack.model.site.RequestKind;
 import dev.cactusstack.model.site.RouteRule;
 import dev.cactusstack.model.site.UpstreamRegistration;
 import dev.cactusstack.model.site.Workspace;
@@ -44,8 +27,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -57,24 +38,13 @@
   private static final Address SCHEDULER = new Address("127.0.0.1", 9);
   private static final UpstreamRegistration UPSTREAM =
       new UpstreamRegistration("u", "s", new Address("127.0.0.1", 1), "dc", 4, false, 0, 1, 1);
-  private static final RouteRule ROUTE =
-      new RouteRule(
-          "r",
-          "h",
-          "/",
-          RequestKind.IDEMPOTENT,
-          5_000,
-          2_000,
-          1,
-          1,
-          List.of(new RouteRule.WeightedService("s", 1)));
+  private static final RouteRule ROUTE = ForwardingFixture.route(5_000);
 
   private WorkspaceKeys keys = WorkspaceKeys.NONE;
   private boolean configurationMayBeStale;
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ByteArrayOutputStream output = new ByteArrayOutputStream();
   private final EventLog log = new EventLog(output);
-  private final PeerTable peers = new PeerTable("self", 3_500, new Random(1));
   private Optional<ApiKeyDigest> apiKey = Optional.empty();
   private final UpstreamHeaders headers =
       (UpstreamHeaders)
@@ -84,83 +54,17 @@
               (proxy, method, args) ->
                   method.getName().equals("apiKey")
                       ? apiKey
-                      : method.invoke(stub(UpstreamHeaders.class), args));
-  private final NoticeReader noticeReader = new NoticeReader(() -> 0L, log, headers);
-  private final HttpClient client =
-      new HttpClient(
-          channel.eventLoop(), new HttpClientSettings(100, 100, false, 1_000, 1_000), () -> 0L);
-  private final PlacementClient placement =
-      new PlacementClient(
+                      : method.invoke(ForwardingFixture.stub(UpstreamHeaders.class), args));
+  private final ForwardingFixture host =
+      new ForwardingFixture(
           channel.eventLoop(),
-          () -> 0L,
-          log,
-          new Link(channel.eventLoop(), log),
-          peers,
-          new LocalSchedulers(
-              channel.eventLoop(),
-              () -> 0L,
-              log,
-              new SchedulerSettings(12, 1, 12, 0.45, 1.5, 5),
-              new UpstreamsController(
-                  channel.eventLoop(),
-                  () -> 0L,
-                  () -> 0L,
-                  log,
-                  stub(SiteStore.class),
-                  Optional::empty,
-                  () -> false),
-              new UpstreamProber(client, headers, noticeReader),
-              new LimitShares(peers, PeerTable.hash("self"), () -> true),
-              () -> false,
-              new Random(1),
-              PeerTable.hash("self")),
-          noticeReader.notices(),
-          "self",
-          0);
-  private final ForwardingContext context =
-      new ForwardingContext(
-          "dc",
-          channel.eventLoop(),
-          () -> 0L,
           log,
           headers,
           new CallerAuthentication(() -> keys, () -> configurationMayBeStale, headers),
-          client,
-          placement,
-          new QuotaClient(
-              channel.eventLoop(),
-              () -> 0L,
-              log,
-              new Link(channel.eventLoop(), log),
-              PeerTable.hash("self"),
-              new QuotaOwners(
-                  () -> 0L, log, peers, PeerTable.hash("self"), () -> true, Optional::empty),
-              placement::nextKey),
-          noticeReader,
-          new ForwardingContext.RetryBudget(1_000, 0, () -> 0),
-          Optional.empty(),
-          new GatewayMetrics());
+          new HttpClientSettings(100, 100, false, 1_000, 1_000),
+          new Link(channel.eventLoop(), log));
   private final List<CallerResponse> responses = new ArrayList<>();
 
-  /** Returns an object whose methods return empty or null, as no message is read here. */
-  private static <T> T stub(Class<T> type) {
-    return type.cast(
-        Proxy.newProxyInstance(
-            type.getClassLoader(),
-            new Class<?>[] {type},
-            (proxy, method, args) ->
-                method.getReturnType() == OptionalLong.class
-                    ? OptionalLong.empty()
-                    : method.getReturnType() == Optional.class ? Optional.empty() : null));
-  }
-
-  private void register(String name, Address address, int milliCores) {
-    peers.recordStart(new HostRegistration(name, "dc", address, address, milliCores, 1), 0);
-    peers.mergeHeartbeats(
-        List.of(new HeartbeatState(PeerTable.hash(name), 1, 1, false, StoreContact.UNKNOWN, true)),
-        0);
-  }
-
   /** Forwards a request that another host places on the upstream. */
   private String forwardWithPlacement() {
     return forwardWithPlacement(Optional.empty());
@@ -169,18 +73,18 @@
   /** Forwards a request that another host places, saying what it knows of the upstream's limit. */
   private String forwardWithPlacement(Optional<RequestLimit> limit) {
     channel.freezeTime();
-    register("self", new Address("127.0.0.1", 8), 600);
-    register("scheduler", SCHEDULER, 6_000);
+    host.registerWith("scheduler", SCHEDULER);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
-    new ForwardedRequest(context, request, "id", ROUTE, Optional.empty(), responses::add).start();
+    new ForwardedRequest(host.context, request, "id", ROUTE, Optional.empty(), responses::add)
+        .start();
     decide(
-        new PlacementDecision.Placed(new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, limit));
+        new PlacementDecision.Placed(new PlacementKey(ForwardingFixture.HASH, 1), UPSTREAM, limit));
     log.flush();
     return output.toString(StandardCharsets.UTF_8);
   }
 
   private void decide(PlacementDecision decision) {
-    placement.onMessage(new LinkMessage.DecisionMade(decision, 0), SCHEDULER);
+    host.placement.onMessage(new LinkMessage.DecisionMade(decision, 0), SCHEDULER);
   }
 
   @Test
@@ -190,7 +94,7 @@
 
   @Test
   void shouldNotSendARequestWhenTheUpstreamHasSaidThatItLeaves() {
-    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
+    host.noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
     assertThat(forwardWithPlacement())
         .contains("event=upstream_declined")
         .doesNotContain("event=sent");
@@ -198,7 +102,7 @@
 
   @Test
   void shouldNotSendARequestWhenTheUpstreamHoldsThisHostOff() {
-    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(false, 20_000), 0);
+    host.noticeReader.notices().record(UPSTREAM, new UpstreamNotice(false, 20_000), 0);
     assertThat(forwardWithPlacement())
         .contains("event=upstream_declined")
         .doesNotContain("event=sent");
@@ -207,10 +111,10 @@
   /** A placement that is turned down is no retry: the budget of this test allows none. */
   @Test
   void shouldRequestAnotherPlacementAndPassOnItsRejection() {
-    noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
+    host.noticeReader.notices().record(UPSTREAM, new UpstreamNotice(true, 0), 0);
     forwardWithPlacement();
     assertThat(responses).isEmpty();
-    decide(new PlacementDecision.Rejected(new PlacementKey(PeerTable.hash("self"), 2), 700));
+    decide(new PlacementDecision.Rejected(new PlacementKey(ForwardingFixture.HASH, 2), 700));
     assertThat(responses)
         .singleElement()
         .satisfies(response -> assertThat(response.headers().get("Retry-After")).isEqualTo("0.7"));
@@ -218,7 +122,7 @@
 
   /** Records a response that the upstream wrote between 3 s and 2.9 s ago. */
   private void recordLimit(double requestsPerSecond) {
-    noticeReader
+    host.noticeReader
         .notices()
         .record(
             UPSTREAM,
@@ -265,7 +169,7 @@
   void shouldSendARequestWhenAnEarlierStartOfTheUpstreamNamedTheLimit() {
     var earlier =
         new UpstreamRegistration("u", "s", new Address("127.0.0.1", 1), "dc", 4, false, 0, 0, 1);
-    noticeReader
+    host.noticeReader
         .notices()
         .record(
             earlier,
@@ -276,15 +180,15 @@
 
   private void revokeKeyBeforePlacement(Workspace... inForceLater) {
     channel.freezeTime();
-    register("self", new Address("127.0.0.1", 8), 600);
-    register("scheduler", SCHEDULER, 6_000);
+    host.registerWith("scheduler", SCHEDULER);
     var acme = new Workspace("acme", Set.of(), OptionalInt.empty(), 0, 0);
     var request = new CallerRequest(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0], 0);
-    new ForwardedRequest(context, request, "id", ROUTE, Optional.of(acme), responses::add).start();
+    new ForwardedRequest(host.context, request, "id", ROUTE, Optional.of(acme), responses::add)
+        .start();
     keys = new WorkspaceKeys(inForceLater.length == 0 ? List.of(acme) : List.of(inForceLater));
     decide(
         new PlacementDecision.Placed(
-            new PlacementKey(PeerTable.hash("self"), 1), UPSTREAM, Optional.empty()));
+            new PlacementKey(ForwardingFixture.HASH, 1), UPSTREAM, Optional.empty()));
     log.flush();
   }
 
