--- a/gateway/src/test/java/dev/cactusstack/gateway/control/StoreRestoreTest.java
+++ b/gateway/src/test/java/dev/cactusstack/gateway/control/StoreRestoreTest.java
@@ -189,6 +189,16 @@
     assertThat(active().evacuated()).containsExactly("out");
   }
 
+  /** Guards against an evacuation that is not taken because the rules beside it are older. */
+  @Test
+  void shouldTakeAnEvacuationWhenTheRestoredStoreHasOlderRules() {
+    store.restore(NEXT_ERA);
+    completeConfigurationRead(configuration(NEXT_ERA, 80, 6));
+    completeWatch(configuration(NEXT_ERA, 81, 6, "out", "other"));
+    assertThat(active().evacuated()).containsExactlyInAnyOrder("out", "other");
+    assertThat(active().version()).isEqualTo(7);
+  }
+
   /** Guards against a data centre that stays without requests although nobody wants that. */
   @Test
   void shouldEndAHeldEvacuationWhenItIsNotWrittenAgainInTime() {
